--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Benchmarks: run by hand, never by CI."""
--- /dev/null
+++ b/src/foldloom/claims/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Claims: each submission runs once."""
--- /dev/null
+++ b/src/foldloom/claims/acquire.py
@@ -0,0 +1,173 @@
+# SPDX-License-Identifier: MIT
+"""How a coordinator gets the claim of a submission: two of three votes, nearest first."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import NamedTuple
+
+from foldloom.claims.messages import Claim, ClaimReply, ClaimRequest, ReleaseHeld, Vote, Withdraw
+from foldloom.claims.replicas import ReplicaSets
+from foldloom.claims.service import ClaimService
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.peers.wire import PeerNetwork
+from foldloom.settings import Settings
+
+
+class Acquisition(Enum):
+    """How a try for a claim ended."""
+
+    WON = "won"
+    HELD = "held"
+    NO_QUORUM = "no-quorum"
+
+
+class AcquireResult(NamedTuple):
+    """The end of one try.
+
+    Args:
+        how: The end.
+        holders: Other coordinators' claims that were met.
+        detail: For people: what each replica said.
+    """
+
+    how: Acquisition
+    holders: list[Claim]
+    detail: str
+
+
+class ClaimAcquirer:
+    """Ask claim replicas on behalf of this box's jobs.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        service: This box's own claim replica; its vote costs no message.
+    """
+
+    def __init__(self, settings: Settings, network: PeerNetwork, service: ClaimService) -> None:
+        self._settings = settings
+        self._network = network
+        self._service = service
+
+    async def acquire(self, submission: str, digest: str, attempt: int) -> AcquireResult:
+        """Try once to get the claim of *submission*.
+
+        The claim is won only by a majority of votes of which no voter knows that another
+        one has lost its memory since.
+        """
+        replicas = self._service.replicas_of(submission)
+        request = ClaimRequest(
+            submission, digest, self._network.incarnation, attempt, replicas.epoch
+        )
+        replies: dict[str, ClaimReply] = {}
+        waiting = self._by_nearness(replicas)
+        first_count = self._first_count(replicas)
+        asking = {self._ask(box, request) for box in waiting[:first_count]}
+        waiting = waiting[first_count:]
+        timeouts = self._settings.timings
+        while asking:
+            hedge = timeouts.claim_hedge_ms if waiting else timeouts.claim_timeout_ms
+            done, asking = await asyncio.wait(
+                asking, timeout=hedge / 1_000, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                box, reply = task.result()
+                if reply is not None:
+                    replies[box] = reply
+            if self._is_won(replicas, replies):
+                _forget(asking)
+                return AcquireResult(Acquisition.WON, [], "")
+            missed = any(task.result()[1] is None for task in done)
+            refused = any(reply.vote is not Vote.GRANTED for reply in replies.values())
+            if waiting and (not done or missed or refused):
+                asking |= {self._ask(box, request) for box in waiting}
+                waiting = []
+            if self._is_lost(replicas, replies, len(asking)):
+                break
+        _forget(asking)
+        return self._judge_loss(replicas, replies)
+
+    def withdraw(self, submission: str, attempt: int) -> None:
+        """Give the claim back everywhere; only for a job that started nothing."""
+        message = Withdraw(submission, self._network.incarnation, attempt)
+        for box in self._service.replicas_of(submission).boxes:
+            if box == self._settings.box:
+                self._service.withdraw(box, message)
+            else:
+                self._network.tell(box, message)
+
+    def release_held(self, submission: str, claim: Claim) -> None:
+        """Tell the replicas that *claim*'s own coordinator said it is withdrawn."""
+        message = ReleaseHeld(submission, claim.coordinator, claim.incarnation, claim.attempt)
+        for box in self._service.replicas_of(submission).boxes:
+            self._network.tell(box, message)
+
+    def _ask(self, box: str, request: ClaimRequest) -> asyncio.Task[tuple[str, ClaimReply | None]]:
+        return asyncio.ensure_future(self._ask_one(box, request))
+
+    async def _ask_one(self, box: str, request: ClaimRequest) -> tuple[str, ClaimReply | None]:
+        if box == self._settings.box:
+            return box, self._service.vote(box, request)
+        try:
+            timeout_ms = self._settings.timings.claim_timeout_ms
+            return box, await self._network.ask(box, request, timeout_ms)
+        except PeerUnreachableError:
+            return box, None
+
+    def _by_nearness(self, replicas: ReplicaSets) -> list[str]:
+        """Return the replicas: this box, then those of its zone, then the others."""
+        zone = self._settings.zone
+        own = self._settings.box
+        return sorted(
+            replicas.boxes,
+            key=lambda box: (box != own, self._network.zone_of(box) != zone),
+        )
+
+    def _first_count(self, replicas: ReplicaSets) -> int:
+        """Return how many to ask first: as few as can be a majority."""
+        if len(replicas.sets) > 1:
+            return len(replicas.boxes)
+        return len(replicas.boxes) // 2 + 1
+
+    def _is_won(self, replicas: ReplicaSets, replies: dict[str, ClaimReply]) -> bool:
+        granted = {box: reply for box, reply in replies.items() if reply.vote is Vote.GRANTED}
+        return replicas.is_majority(self._living_votes(granted))
+
+    def _living_votes(self, granted: dict[str, ClaimReply]) -> set[str]:
+        """Return the voters of whom no other voter, nor this box, knows a newer life."""
+        living = set()
+        for box, reply in granted.items():
+            newest = self._network.known_incarnation(box)
+            for other, other_reply in granted.items():
+                if other != box:
+                    newest = max(newest, other_reply.known.get(box, 0))
+            if newest <= reply.incarnation:
+                living.add(box)
+        return living
+
+    def _is_lost(self, replicas: ReplicaSets, replies: dict[str, ClaimReply], asked: int) -> bool:
+        """Return whether the holders met leave no majority to win."""
+        if asked and not any(reply.vote is Vote.HELD for reply in replies.values()):
+            return False
+        refusing = {box for box, reply in replies.items() if reply.vote is not Vote.GRANTED}
+        possible = set(replicas.boxes) - refusing
+        return not replicas.is_majority(possible) or not asked
+
+    def _judge_loss(self, replicas: ReplicaSets, replies: dict[str, ClaimReply]) -> AcquireResult:
+        holders = list(
+            dict.fromkeys(claim for reply in replies.values() for claim in reply.holders)
+        )
+        said = [
+            f"{box} {replies[box].vote.name.lower() if box in replies else 'silent'}"
+            for box in replicas.boxes
+        ]
+        how = Acquisition.HELD if holders else Acquisition.NO_QUORUM
+        return AcquireResult(how, holders, ", ".join(said))
+
+
+def _forget(asking: set[asyncio.Task[tuple[str, ClaimReply | None]]]) -> None:
+    """Stop waiting for the tasks in *asking*."""
+    for task in asking:
+        task.cancel()
--- /dev/null
+++ b/src/foldloom/claims/recovery.py
@@ -0,0 +1,139 @@
+# SPDX-License-Identifier: MIT
+"""How a restarted claim replica gets its memory back before it votes again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from foldloom.claims.messages import CopyReply, CopyRequest
+from foldloom.claims.replicas import ReplicaSets
+from foldloom.claims.table import ClaimTable
+from foldloom.controllers.client import ControllerClient
+from foldloom.controllers.config import BoxList
+from foldloom.controllers.state import IncarnationCommand
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.logs import CLAIM_LOG
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+
+_COPY_TIMEOUT_MS = 2_000
+_PAUSE_S = 0.2
+_RECORD_TIMEOUT_MS = 2_000
+
+
+class Recovery:
+    """Know for which submissions this box may vote.
+
+    It may once it has copied the claims of both other replicas, or if this is its first
+    life, or after every claim of an earlier life has expired.
+
+    Args:
+        box: This box.
+        network: The peers.
+        client: The controllers, which record every box's lives.
+        table: Where copied claims go.
+        box_list: Returns the box list in force.
+        retention_ms: How long claims are kept.
+    """
+
+    def __init__(
+        self,
+        box: str,
+        network: PeerNetwork,
+        client: ControllerClient,
+        table: ClaimTable,
+        box_list: Callable[[], BoxList],
+        retention_ms: int,
+    ) -> None:
+        self._box = box
+        self._network = network
+        self._client = client
+        self._table = table
+        self._box_list = box_list
+        self._retention_ms = retention_ms
+        self._started_ms = monotonic_ms()
+        self._copied_from: set[str] = set()
+        self._is_whole = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether this box may vote for every submission."""
+        return self._is_whole
+
+    def may_vote(self, replicas: ReplicaSets) -> bool:
+        """Return whether this box may vote for a submission with these *replicas*."""
+        if self._is_whole:
+            return True
+        others = set(replicas.boxes) - {self._box}
+        return others <= self._copied_from
+
+    async def run(self) -> None:
+        """Work until the memory is whole."""
+        tasks = [
+            asyncio.create_task(self._ask_record()),
+            asyncio.create_task(self._copy_all()),
+            asyncio.create_task(self._wait_retention()),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            self._is_whole = True
+            CLAIM_LOG.info("This box votes on every claim now.")
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _ask_record(self) -> None:
+        """Return once the controllers say that this is the box's first life."""
+        command = IncarnationCommand(self._box, self._network.incarnation)
+        while True:
+            result = await self._client.propose(command, _RECORD_TIMEOUT_MS)
+            if result.is_ok():
+                break
+            await asyncio.sleep(_PAUSE_S)
+        if result.ok.number == 0:
+            CLAIM_LOG.info("First life of this box: there are no earlier claims.")
+            return
+        CLAIM_LOG.info("Life {} came before: copy claims first.", result.ok.number)
+        await asyncio.Event().wait()
+
+    async def _copy_all(self) -> None:
+        """Return once the claims of every other box of the list are copied."""
+        while True:
+            boxes = self._box_list()
+            others = {*boxes["current"], *(boxes["next"] or {})} - {self._box}
+            missing = others - self._copied_from
+            if others and not missing:
+                return
+            await asyncio.gather(*(self._copy(box) for box in sorted(missing)))
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _wait_retention(self) -> None:
+        """Return once every claim of an earlier life has expired everywhere."""
+        left_ms = self._started_ms + self._retention_ms - monotonic_ms()
+        await asyncio.sleep(max(0.0, left_ms / 1_000))
+
+    async def _copy(self, box: str) -> None:
+        """Copy from *box*; it counts only if one life of it served the whole copy."""
+        position = 0
+        life = 0
+        copied = 0
+        while True:
+            try:
+                reply: CopyReply = await self._network.ask(
+                    box, CopyRequest(position), _COPY_TIMEOUT_MS
+                )
+            except PeerUnreachableError:
+                return
+            serving_life = self._network.known_incarnation(box)
+            if not reply.is_whole_memory or (life and serving_life != life):
+                return
+            life = serving_life
+            now_ms = int(monotonic_ms())
+            for claim in reply.claims:
+                self._table.merge(claim, now_ms)
+            copied += len(reply.claims)
+            position = reply.next_position
+            if position == 0:
+                break
+        CLAIM_LOG.info("Copied {} claims from {}.", copied, box)
+        self._copied_from.add(box)
--- /dev/null
+++ b/src/foldloom/claims/table.py
@@ -0,0 +1,185 @@
+# SPDX-License-Identifier: MIT
+"""The claims that one box holds in memory, and how it votes.
+
+Kept small: one short tuple a claim, names and lives shared between claims. Claims expire in
+the order in which they came, so the oldest are always at the front.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import NamedTuple
+
+from foldloom.claims.messages import Claim, CopiedClaim, Vote
+
+
+class _Held(NamedTuple):
+    """A claim as the table keeps it."""
+
+    digest: bytes
+    coordinator: str
+    incarnation: int
+    attempt: int
+    expires_ms: int
+
+
+class Judgement(NamedTuple):
+    """A vote and the claims that stand in the way."""
+
+    vote: Vote
+    holders: list[Claim]
+
+
+class ClaimTable:
+    """Claims by submission.
+
+    Args:
+        retention_ms: How long a claim is kept.
+        claims_max: How many claims are kept; more are refused, none is dropped early.
+    """
+
+    def __init__(self, retention_ms: int, claims_max: int) -> None:
+        self._retention_ms = retention_ms
+        self._claims_max = claims_max
+        self._held: dict[str, _Held] = {}
+        self._differing: dict[str, list[_Held]] = {}
+        self._withdrawn: dict[tuple[str, str, int], tuple[int, int]] = {}
+        self._lives: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        """Return how many submissions have a claim here."""
+        return len(self._held)
+
+    def holders(self, submission: str) -> list[Claim]:
+        """Return every claim held of *submission*."""
+        held = self._held.get(submission)
+        if held is None:
+            return []
+        return [_claim(held), *map(_claim, self._differing.get(submission, ()))]
+
+    def judge(self, submission: str, claim: Claim, now_ms: int) -> Judgement:
+        """Vote on *claim* and hold it if granted.
+
+        Only a claim that is alone gets the vote: of two copies that differ neither does,
+        until the losing coordinator itself has withdrawn.
+        """
+        withdrawn, _ = self._withdrawn.get(_life_key(submission, claim), (-1, 0))
+        if claim.attempt <= withdrawn:
+            return Judgement(Vote.WITHDRAWN, [])
+        others = [held for held in self.holders(submission) if not _is_same(held, claim)]
+        own_older = [held for held in others if _is_older_attempt(held, claim)]
+        if own_older:
+            # The coordinator moved on to a newer attempt, so the older one is withdrawn.
+            for held in own_older:
+                self.release(submission, held, now_ms)
+            others = [held for held in others if held not in own_older]
+        if others:
+            return Judgement(Vote.HELD, others)
+        if submission in self._held:
+            return Judgement(Vote.GRANTED, [])
+        if len(self._held) >= self._claims_max:
+            return Judgement(Vote.FULL, [])
+        self._held[submission] = self._pack(claim, now_ms + self._retention_ms)
+        return Judgement(Vote.GRANTED, [])
+
+    def release(self, submission: str, claim: Claim, now_ms: int) -> None:
+        """Take back *claim*, which its own coordinator withdrew, and remember that."""
+        key = _life_key(submission, claim)
+        known, _ = self._withdrawn.get(key, (-1, 0))
+        attempt = max(known, claim.attempt)
+        self._withdrawn.pop(key, None)
+        self._withdrawn[key] = (attempt, now_ms + self._retention_ms)
+        kept = [
+            held
+            for held in self._all(submission)
+            if not (
+                held.coordinator == claim.coordinator
+                and held.incarnation == claim.incarnation
+                and held.attempt <= attempt
+            )
+        ]
+        self._put(submission, kept)
+
+    def merge(self, copied: CopiedClaim, now_ms: int) -> None:
+        """Add a copied claim beside what is held; copies that differ are all kept."""
+        withdrawn, _ = self._withdrawn.get(_life_key(copied.submission, copied.claim), (-1, 0))
+        if copied.claim.attempt <= withdrawn:
+            return
+        present = self._all(copied.submission)
+        if any(_is_same(_claim(held), copied.claim) for held in present):
+            return
+        fresh = self._pack(copied.claim, now_ms + copied.keep_ms)
+        self._put(copied.submission, [*present, fresh])
+
+    def export(self, submission: str, now_ms: int) -> list[CopiedClaim]:
+        """Return the claims of *submission* for a copy."""
+        return [
+            CopiedClaim(submission, _claim(held), max(0, held.expires_ms - now_ms))
+            for held in self._all(submission)
+        ]
+
+    def submissions(self) -> list[str]:
+        """Return every submission that has a claim."""
+        return list(self._held)
+
+    def expire(self, now_ms: int) -> int:
+        """Drop the claims whose time has passed and return how many."""
+        dropped = 0
+        while self._held:
+            submission = next(iter(self._held))
+            if self._held[submission].expires_ms > now_ms:
+                break
+            del self._held[submission]
+            self._differing.pop(submission, None)
+            dropped += 1
+        while self._withdrawn:
+            key = next(iter(self._withdrawn))
+            if self._withdrawn[key][1] > now_ms:
+                break
+            del self._withdrawn[key]
+        return dropped
+
+    def _all(self, submission: str) -> list[_Held]:
+        held = self._held.get(submission)
+        if held is None:
+            return []
+        return [held, *self._differing.get(submission, ())]
+
+    def _put(self, submission: str, kept: list[_Held]) -> None:
+        self._differing.pop(submission, None)
+        if not kept:
+            self._held.pop(submission, None)
+            return
+        self._held[submission] = kept[0]
+        if kept[1:]:
+            self._differing[submission] = kept[1:]
+
+    def _pack(self, claim: Claim, expires_ms: int) -> _Held:
+        life = self._lives.setdefault(claim.incarnation, claim.incarnation)
+        return _Held(
+            bytes.fromhex(claim.digest),
+            sys.intern(claim.coordinator),
+            life,
+            claim.attempt,
+            expires_ms,
+        )
+
+
+def _claim(held: _Held) -> Claim:
+    return Claim(held.digest.hex(), held.coordinator, held.incarnation, held.attempt)
+
+
+def _is_same(one: Claim, other: Claim) -> bool:
+    return one == other
+
+
+def _is_older_attempt(held: Claim, claim: Claim) -> bool:
+    return (
+        held.coordinator == claim.coordinator
+        and held.incarnation == claim.incarnation
+        and held.attempt < claim.attempt
+    )
+
+
+def _life_key(submission: str, claim: Claim) -> tuple[str, str, int]:
+    return submission, claim.coordinator, claim.incarnation
--- /dev/null
+++ b/src/foldloom/cli/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""The command-line tool."""
--- /dev/null
+++ b/src/foldloom/cli/main.py
@@ -0,0 +1,238 @@
+# SPDX-License-Identifier: MIT
+"""``foldloom``: the command-line tool.
+
+Exit codes: 0 done; 1 failure; 2 usage or settings; 3 refused, certainly not run; 4 failed,
+may have run; 5 conflict; 6 box unreachable.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import uuid
+from importlib.metadata import version as package_version
+from pathlib import Path
+from typing import Any
+
+import fire
+import zmq
+
+from foldloom.cli.client import (
+    EXIT_USAGE,
+    base_url,
+    call,
+    exit_code_of,
+    expect_ok,
+    operator_headers,
+)
+from foldloom.cli.load import LoadOptions, run_load
+from foldloom.controllers.storage import format_folder
+from foldloom.exceptions import CommandError, SettingsError
+from foldloom.settings import CONTROLLER, load_settings
+
+
+class Commands:
+    """Drive foldloom: state intents, look at the plan, confirm it, submit jobs."""
+
+    def intent(self, kind: str, name: str = "", file: str = "", **fields: Any) -> None:
+        """Print one intent as JSON, or add it to the list in FILE.
+
+        Args:
+            kind: service, worker, worker-leaving, member, remove, box-joining, box-leaving,
+                box-dead or controller-replace.
+            name: What it is about.
+            file: A JSON file to add it to; it is made if it is not there.
+            fields: The intent's other fields, for example --endpoint, --zone, --slots.
+        """
+        intent: dict[str, Any] = {"kind": kind}
+        if name:
+            intent["name"] = str(name)
+        for key, value in fields.items():
+            intent[key] = list(value) if isinstance(value, tuple) else value
+        if not file:
+            _print_json(intent)
+            return
+        path = Path(file)
+        intents = _read_intents(file) if path.exists() else []
+        path.write_text(json.dumps([*intents, intent], indent=2) + "\n", encoding="utf-8")
+        print(f"{len(intents) + 1} intents in {file}")
+
+    def plan(self, file: str, url: str = "", token_file: str = "", json: bool = False) -> None:
+        """Show what confirming the intents in FILE would change; nothing takes effect."""
+        fields = self._plan(file, url, token_file)
+        if json:
+            _print_json(fields)
+            return
+        for sentence in fields["plan"] or ["Nothing would change."]:
+            print(sentence)
+        print(f"base version {fields['base_version']}, digest {fields['digest']}")
+
+    def confirm(
+        self,
+        file: str,
+        digest: str,
+        command: str = "",
+        url: str = "",
+        token_file: str = "",
+        json: bool = False,
+    ) -> None:
+        """Put the intents in FILE in force if they still mean the plan named DIGEST.
+
+        Args:
+            file: The intents.
+            digest: The plan's digest; ``auto`` plans and confirms in one go.
+            command: An id that makes a resend harmless; one is made and printed if left out.
+            url: The box.
+            token_file: The operator's token.
+            json: Print JSON.
+        """
+        command = str(command or uuid.uuid4().hex)
+        if digest == "auto":
+            digest = self._plan(file, url, token_file)["digest"]
+        body = {"command": command, "base_version": 0, "intents": _read_intents(file)}
+        print(f"command {command}", file=sys.stderr)
+        target = f"{base_url(url)}/v1/plans/{digest}/confirm"
+        fields = expect_ok(call("POST", target, body, operator_headers(token_file)))
+        _print_json(fields) if json else print(f"version {fields['version']} is confirmed")
+
+    def status(self, url: str = "", token_file: str = "", json: bool = False) -> None:
+        """Show which box has which version in force and who is missing."""
+        target = f"{base_url(url)}/v1/status"
+        fields = expect_ok(call("GET", target, None, operator_headers(token_file)))
+        if json:
+            _print_json(fields)
+            return
+        current = "current" if fields["is_confirmed_current"] else "unconfirmed-current"
+        print(f"{fields['box']} in {fields['zone']}: version {fields['version']} ({current})")
+        for name, one in sorted(fields["boxes"].items()):
+            state = "live" if one["is_live"] else "silent"
+            if one["is_stopping"]:
+                state = "stopping"
+            vote = "votes" if one["can_vote"] else "does not vote"
+            print(f"  {name}: version {one['version']}, {state}, {vote}")
+        print("missing: " + (", ".join(fields["missing"]) or "none"))
+
+    def config(self, url: str = "", token_file: str = "") -> None:
+        """Print the configuration in force on a box, as JSON."""
+        target = f"{base_url(url)}/v1/config"
+        _print_json(expect_ok(call("GET", target, None, operator_headers(token_file))))
+
+    def submit(self, file: str, submission: str = "", url: str = "", json: bool = False) -> None:
+        """Submit the job in FILE (``-``: standard input) and print its answers.
+
+        Args:
+            file: The job's JSON.
+            submission: Its id; one is made if left out. The same id again is the same job.
+            url: The box.
+            json: Print the whole response.
+        """
+        submission = str(submission or uuid.uuid4().hex)
+        body = _read_json(file)
+        print(f"submission {submission}", file=sys.stderr)
+        reply = call("PUT", f"{base_url(url)}/v1/jobs/{submission}", body)
+        if json and isinstance(reply.fields, dict):
+            _print_json(reply.fields)
+            raise SystemExit(exit_code_of(reply.status, reply.fields))
+        for answer in expect_ok(reply)["answers"]:
+            _print_json(answer)
+
+    def load(self, json: bool = False, **options: Any) -> None:
+        """Send jobs at a fixed rate and report response over ideal.
+
+        Args:
+            json: Print JSON.
+            options: --urls, --jobs-per-second, --seconds, --tasks, --seed, --service,
+                --members, --task-ms-min, --task-ms-max, --deadline-ms, --repeatable.
+        """
+        try:
+            chosen = LoadOptions(**options)
+        except TypeError as error:
+            raise CommandError(str(error).partition(") ")[2], EXIT_USAGE) from error
+        report = run_load(chosen)
+        _print_json(report.fields()) if json else print(report.text())
+
+    def check_settings(self, file: str) -> None:
+        """Check a settings file: exit 0, or 2 and a line with file, key and reason."""
+        settings = load_settings(file)
+        print(f"{file}: box {settings.box} in {settings.zone}, roles {', '.join(settings.roles)}")
+
+    def init_data(self, file: str) -> None:
+        """Make the empty data folder of a controller of a new system.
+
+        Never for a controller that lost its folder: that one is taken in again by itself.
+        """
+        settings = load_settings(file)
+        if CONTROLLER not in settings.roles:
+            raise CommandError(f"{file}: this box is no controller", EXIT_USAGE)
+        try:
+            identity = format_folder(settings.data_folder, is_first=True)
+        except FileExistsError as error:
+            raise CommandError(str(error), EXIT_USAGE) from error
+        print(f"data folder {identity.storage_id}")
+
+    def keys(self, file: str) -> None:
+        """Make a key pair: the secret key goes into FILE, the public one is printed."""
+        path = Path(file)
+        if path.exists():
+            raise CommandError(f"{file} is there already", EXIT_USAGE)
+        public, secret = zmq.curve_keypair()
+        path.touch(mode=0o600)
+        path.write_text(secret.decode() + "\n", encoding="ascii")
+        print(public.decode())
+
+    def version(self) -> None:
+        """Print the version."""
+        print(package_version("foldloom"))
+
+    def _plan(self, file: str, url: str, token_file: str) -> Any:
+        target = f"{base_url(url)}/v1/intents"
+        body = {"intents": _read_intents(file)}
+        return expect_ok(call("POST", target, body, operator_headers(token_file)))
+
+
+def _read_json(file: str) -> Any:
+    """Return the JSON in *file*, or on standard input for ``-``.
+
+    Raises:
+        CommandError: It can't be read.
+    """
+    try:
+        text = sys.stdin.read() if file == "-" else Path(file).read_text(encoding="utf-8")
+        return json.loads(text)
+    except (OSError, ValueError) as error:
+        raise CommandError(f"{file}: {error}", EXIT_USAGE) from error
+
+
+def _read_intents(file: str) -> list[Any]:
+    """Return the list of intents in *file*."""
+    raw = _read_json(file)
+    if isinstance(raw, dict):
+        raw = raw.get("intents", [raw])
+    if not isinstance(raw, list):
+        raise CommandError(f"{file}: expected a list of intents", EXIT_USAGE)
+    return raw
+
+
+def _print_json(fields: Any) -> None:
+    print(json.dumps(fields, ensure_ascii=False))
+
+
+def main() -> None:
+    """Run one command; any error is one line on standard error."""
+    try:
+        fire.Fire(Commands(), name="foldloom")
+    except SettingsError as error:
+        _exit(str(error), EXIT_USAGE)
+    except CommandError as error:
+        _exit(str(error), error.exit_code)
+    except KeyboardInterrupt:
+        _exit("interrupted", 1)
+
+
+def _exit(message: str, code: int) -> None:
+    print(f"foldloom: {message}", file=sys.stderr)
+    raise SystemExit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/foldloom/controllers/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Controllers: the confirmed configuration."""
--- /dev/null
+++ b/src/foldloom/controllers/boxes.py
@@ -0,0 +1,63 @@
+# SPDX-License-Identifier: MIT
+"""The leader ends a joint box list once every old box knows of it and a window has passed."""
+
+from __future__ import annotations
+
+import asyncio
+
+from foldloom.controllers.node import ControllerNode
+from foldloom.controllers.state import BoxesSettledCommand, encode_command
+from foldloom.exceptions import NotLeaderError, PeerUnreachableError
+from foldloom.logs import CONTROLLER_LOG
+from foldloom.peers.membership import Membership
+from foldloom.peers.wire import monotonic_ms
+from foldloom.settings import Settings
+
+_CHECK_S = 0.25
+
+
+class BoxListKeeper:
+    """Watch a joint box list while this controller leads.
+
+    Args:
+        settings: This box's settings.
+        node: The controller.
+        membership: What the boxes' heartbeats say.
+    """
+
+    def __init__(self, settings: Settings, node: ControllerNode, membership: Membership) -> None:
+        self._settings = settings
+        self._node = node
+        self._membership = membership
+        self._known_ms: tuple[int, float] | None = None
+
+    async def run(self) -> None:
+        """End joint lists until cancelled."""
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            boxes = self._node.state.config.boxes
+            if not self._node.is_leading or boxes["next"] is None:
+                self._known_ms = None
+                continue
+            if not self._is_due(boxes["epoch"]):
+                continue
+            try:
+                await self._node.propose(encode_command(BoxesSettledCommand(boxes["epoch"])))
+                CONTROLLER_LOG.info("The box list of epoch {} is settled.", boxes["epoch"])
+            except (NotLeaderError, PeerUnreachableError):
+                continue
+
+    def _is_due(self, epoch: int) -> bool:
+        """Return whether all old boxes have known *epoch* for a whole retention time.
+
+        Counted anew by each leader: too late is safe, too early is not.
+        """
+        boxes = self._node.state.config.boxes
+        others = set(boxes["current"]) - set(boxes["dead"]) - {self._settings.box}
+        states = self._membership.states
+        if any(box not in states or states[box].heartbeat.list_epoch < epoch for box in others):
+            self._known_ms = None
+            return False
+        if self._known_ms is None or self._known_ms[0] != epoch:
+            self._known_ms = (epoch, monotonic_ms())
+        return monotonic_ms() - self._known_ms[1] >= self._settings.retention_ms
--- /dev/null
+++ b/src/foldloom/controllers/client.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: MIT
+"""How any box reaches the controllers' leader: proposals and read barriers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from foldloom.controllers.messages import BarrierReply, Propose, ProposeReply, ReadBarrier
+from foldloom.controllers.state import Answer, Command, encode_command
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.verdicts import Problem, may_have_run, not_run
+
+_TRY_TIMEOUT_MS = 1_500
+_PAUSE_S = 0.05
+_RETRY_AFTER_MS = 500
+
+
+class ControllerClient:
+    """Send commands to whichever controller leads.
+
+    Every command may be sent again: each carries an id that makes a second one harmless.
+
+    Args:
+        network: The peers.
+        controllers: Boxes with the controller role.
+    """
+
+    def __init__(self, network: PeerNetwork, controllers: list[str]) -> None:
+        self._network = network
+        self._controllers = list(controllers)
+        self._leader = ""
+
+    async def propose(self, command: Command, timeout_ms: int) -> Result[Answer, Problem]:
+        """Commit *command* and return its answer, or whether it may have taken effect."""
+        message = Propose(encode_command(command))
+        is_unknown = False
+        deadline = monotonic_ms() + timeout_ms
+        while monotonic_ms() < deadline:
+            for box in self._order():
+                try:
+                    reply: ProposeReply = await self._ask(box, message, deadline)
+                except PeerUnreachableError:
+                    is_unknown = True
+                    continue
+                self._leader = reply.leader
+                if reply.answer is not None:
+                    return Ok(reply.answer)
+                is_unknown = is_unknown or reply.is_unknown
+            await asyncio.sleep(_PAUSE_S)
+        detail = "no majority of the controllers answered"
+        if is_unknown:
+            return Error(may_have_run("no-quorum", detail, _RETRY_AFTER_MS, status=503))
+        return Error(not_run("no-quorum", detail, _RETRY_AFTER_MS))
+
+    async def newest_version(self, timeout_ms: int) -> int | None:
+        """Return the newest confirmed version, or ``None`` if no leader can show it."""
+        deadline = monotonic_ms() + timeout_ms
+        while monotonic_ms() < deadline:
+            for box in self._order():
+                try:
+                    reply: BarrierReply = await self._ask(box, ReadBarrier(), deadline)
+                except PeerUnreachableError:
+                    continue
+                self._leader = reply.leader
+                if reply.is_current:
+                    return reply.version
+            await asyncio.sleep(_PAUSE_S)
+        return None
+
+    def _order(self) -> list[str]:
+        """Return the controllers, the leader as last known first."""
+        if self._leader not in self._controllers:
+            return list(self._controllers)
+        others = [box for box in self._controllers if box != self._leader]
+        return [self._leader, *others]
+
+    async def _ask(self, box: str, message: object, deadline: float) -> Any:
+        left = max(1.0, deadline - monotonic_ms())
+        return await self._network.ask(box, message, min(_TRY_TIMEOUT_MS, left))
--- /dev/null
+++ b/src/foldloom/controllers/holder.py
@@ -0,0 +1,120 @@
+# SPDX-License-Identifier: MIT
+"""The configuration in force on this box: it only rises, and is pulled from any peer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from foldloom.controllers.config import Config, apply_changes, decode_config, encode_config
+from foldloom.controllers.messages import ConfigPull, ConfigReply
+from foldloom.controllers.state import CHANGES_KEPT, ChangeSet
+from foldloom.controllers.storage import write_whole
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.logs import CONFIG_LOG
+from foldloom.peers.wire import PeerNetwork
+
+_CACHE_NAME = "config-in-force"
+_PULL_TIMEOUT_MS = 1_000
+
+
+class ConfigHolder:
+    """Hold the newest configuration that this box has seen confirmed.
+
+    Args:
+        network: The peers.
+        initial: Version 0.
+        cache_folder: Where to keep it over a restart; empty for a box without a disk.
+    """
+
+    def __init__(self, network: PeerNetwork, initial: Config, cache_folder: str = "") -> None:
+        self._network = network
+        self._config = initial
+        self._cache = Path(cache_folder) / _CACHE_NAME if cache_folder else None
+        self._change_sets: list[ChangeSet] = []
+        self._listeners: list[Callable[[Config], None]] = []
+        self._is_pulling = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._read_cache()
+        network.on(ConfigPull, self._on_pull)
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self._config
+
+    def on_change(self, listener: Callable[[Config], None]) -> None:
+        """Call *listener* with each newer configuration."""
+        self._listeners.append(listener)
+
+    def adopt(self, config: Config) -> None:
+        """Put *config* in force if it is newer."""
+        if config.version <= self._config.version:
+            return
+        self._config = config
+        CONFIG_LOG.info("Version {} is in force.", config.version)
+        self._write_cache()
+        for listener in self._listeners:
+            listener(config)
+
+    def hear_version(self, box: str, version: int) -> None:
+        """Pull from *box* if it has a newer version in force."""
+        if version <= self._config.version or self._is_pulling:
+            return
+        self._is_pulling = True
+        task = asyncio.get_running_loop().create_task(self._pull(box))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _pull(self, box: str) -> None:
+        have = self._config.version
+        try:
+            reply: ConfigReply = await self._network.ask(box, ConfigPull(have), _PULL_TIMEOUT_MS)
+        except PeerUnreachableError:
+            return
+        finally:
+            self._is_pulling = False
+        if reply.config:
+            self._change_sets.clear()
+            self.adopt(decode_config(reply.config))
+            return
+        if have != self._config.version:
+            return
+        config = self._config
+        for change_set in reply.change_sets:
+            config = apply_changes(config, change_set.changes, change_set.version)
+        self._remember(reply.change_sets)
+        self.adopt(config)
+
+    def _remember(self, change_sets: list[ChangeSet]) -> None:
+        self._change_sets.extend(change_sets)
+        del self._change_sets[:-CHANGES_KEPT]
+
+    def _on_pull(self, _sender: str, message: ConfigPull) -> ConfigReply:
+        missing = [known for known in self._change_sets if known.version > message.have]
+        is_whole = len(missing) == self._config.version - message.have
+        if missing and is_whole:
+            return ConfigReply(missing, b"")
+        return ConfigReply([], encode_config(self._config))
+
+    def _read_cache(self) -> None:
+        if self._cache is None or not self._cache.exists():
+            return
+        try:
+            cached = decode_config(self._cache.read_bytes())
+        except msgspec.DecodeError:
+            CONFIG_LOG.warning("The cached configuration is damaged and not used.")
+            return
+        if cached.version > self._config.version:
+            self._config = cached
+
+    def _write_cache(self) -> None:
+        if self._cache is None:
+            return
+        try:
+            write_whole(self._cache, encode_config(self._config), lambda _fd: None)
+        except OSError as error:
+            CONFIG_LOG.warning("The configuration could not be cached: {}.", error)
--- /dev/null
+++ b/src/foldloom/controllers/leadership.py
@@ -0,0 +1,294 @@
+# SPDX-License-Identifier: MIT
+"""What a controller does while it leads: replicate, commit, prove that it still leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from foldloom.controllers.messages import Append, AppendReply, InstallSnapshot
+from foldloom.controllers.state import Answer, VoterReadyCommand, encode_command
+from foldloom.exceptions import NotLeaderError, PeerUnreachableError
+from foldloom.logs import CONTROLLER_LOG
+from foldloom.peers.wire import monotonic_ms
+
+if TYPE_CHECKING:
+    from foldloom.controllers.node import ControllerNode
+
+ANY_STORAGE = "?"
+_ENTRIES_PER_APPEND = 500
+_HEARTBEATS_PER_ELECTION_TIMEOUT = 6
+
+
+class Follower(NamedTuple):
+    """What the leader knows of one follower.
+
+    Args:
+        next_index: The next entry to send.
+        match_index: The durable index on which both agree.
+        heard_ms: When the newest append that it answered was sent; own monotonic clock.
+        storage_id: The data folder that it answered from.
+        is_first: Whether an operator formatted that folder.
+    """
+
+    next_index: int
+    match_index: int = 0
+    heard_ms: float = 0.0
+    storage_id: str = ""
+    is_first: bool = False
+
+
+class _Candidacy(NamedTuple):
+    """A controller that asks to be counted again, and since when."""
+
+    storage_id: str
+    since_ms: float
+
+
+class Leadership:
+    """One term of leading.
+
+    Args:
+        node: The controller that leads.
+    """
+
+    def __init__(self, node: ControllerNode) -> None:
+        self._node = node
+        self._term = node.log.term
+        self._first_index = node.log.last_index + 1
+        self._followers: dict[str, Follower] = {}
+        self._wakeups: dict[str, asyncio.Event] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._proposals: dict[int, asyncio.Future[Answer]] = {}
+        self._dirty = asyncio.Event()
+        self._heard = asyncio.Condition()
+        self._candidacies: dict[str, _Candidacy] = {}
+        self._pinned: set[tuple[str, str]] = set()
+        self._started_ms = monotonic_ms()
+
+    @property
+    def followers(self) -> dict[str, Follower]:
+        """The followers by box."""
+        return dict(self._followers)
+
+    def start(self) -> None:
+        """Begin the term with a no-op and start the tasks."""
+        self._node.log.add(b"")
+        self._tasks["flush"] = asyncio.create_task(self._flush())
+        self._tasks["watch"] = asyncio.create_task(self._watch())
+        self._dirty.set()
+        self.follow_config()
+
+    def stop(self) -> None:
+        """End the tasks; what was proposed and not committed stays unknown."""
+        for task in self._tasks.values():
+            task.cancel()
+        for future in self._proposals.values():
+            if not future.done():
+                future.set_exception(NotLeaderError())
+                future.exception()
+        self._proposals.clear()
+
+    def follow_config(self) -> None:
+        """Replicate to each controller of the configuration, and to no other."""
+        members = set(self._node.controllers) - {self._node.box}
+        for box in members - set(self._followers):
+            self._followers[box] = Follower(self._node.log.last_index + 1)
+            self._wakeups[box] = asyncio.Event()
+            self._tasks[box] = asyncio.create_task(self._replicate(box))
+        for box in set(self._followers) - members:
+            self._tasks.pop(box).cancel()
+            del self._followers[box], self._wakeups[box]
+
+    async def propose(self, payload: bytes) -> Answer:
+        """Append *payload* and return its answer once it is committed and applied.
+
+        Raises:
+            NotLeaderError: Leadership was lost; the entry may still be committed.
+        """
+        entry = self._node.log.add(payload)
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._proposals[entry.log_index] = future
+        self._dirty.set()
+        self._wake_all()
+        return await future
+
+    def resolve(self, index: int, answer: Answer) -> None:
+        """Hand the applied entry's answer to whoever proposed it."""
+        future = self._proposals.pop(index, None)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def barrier(self) -> None:
+        """Return once a majority has confirmed that this controller leads now.
+
+        Raises:
+            NotLeaderError: It does not, or can't show it in time.
+        """
+        started = monotonic_ms()
+        self._wake_all()
+        try:
+            async with asyncio.timeout(self._node.election_timeout_ms / 1_000):
+                async with self._heard:
+                    await self._heard.wait_for(lambda: self._is_current_since(started))
+        except TimeoutError:
+            raise NotLeaderError() from None
+
+    def admit(self, box: str, storage_id: str) -> None:
+        """Note that *box* wants to be counted; take it in once that is safe.
+
+        It is safe when every other controller has answered this term since the request
+        came: none of them can then win with a vote that *box* gave before it lost its
+        memory. *box* must also hold everything that is committed.
+        """
+        known = self._candidacies.get(box)
+        if known is None or known.storage_id != storage_id:
+            known = _Candidacy(storage_id, monotonic_ms())
+            self._candidacies[box] = known
+        follower = self._followers.get(box)
+        if follower is None or follower.storage_id != storage_id:
+            return
+        if follower.match_index < self._node.commit_index or not self._has_committed_own():
+            return
+        others = [name for name in self._followers if name != box]
+        if any(self._followers[name].heard_ms < known.since_ms for name in others):
+            return
+        self._take_in(box, storage_id)
+
+    def _take_in(self, box: str, storage_id: str) -> None:
+        if (box, storage_id) in self._pinned:
+            return
+        self._pinned.add((box, storage_id))
+        CONTROLLER_LOG.info("Take in {} with data folder {}.", box, storage_id)
+        self._node.log.add(encode_command(VoterReadyCommand(box, storage_id)))
+        self._dirty.set()
+        self._wake_all()
+
+    async def _flush(self) -> None:
+        """Make added entries durable, as many as there are at a time."""
+        while True:
+            await self._dirty.wait()
+            self._dirty.clear()
+            try:
+                await self._node.log.flush()
+            except OSError as error:
+                self._node.fail(error)
+                return
+            self._advance()
+
+    async def _watch(self) -> None:
+        """Step down when no majority was heard for an election time-out."""
+        timeout = self._node.election_timeout_ms
+        while True:
+            await asyncio.sleep(timeout / 2_000)
+            since = monotonic_ms() - timeout
+            if since > self._started_ms and not self._is_heard_since(since):
+                CONTROLLER_LOG.warning("Step down: no majority answers.")
+                self._node.step_down()
+                return
+
+    async def _replicate(self, box: str) -> None:
+        """Send *box* what it misses, and heartbeats, one append at a time."""
+        interval = self._node.election_timeout_ms / _HEARTBEATS_PER_ELECTION_TIMEOUT / 1_000
+        while True:
+            self._wakeups[box].clear()
+            is_behind = await self._replicate_once(box)
+            if is_behind:
+                continue
+            try:
+                async with asyncio.timeout(interval):
+                    await self._wakeups[box].wait()
+            except TimeoutError:
+                continue
+
+    async def _replicate_once(self, box: str) -> bool:
+        """Send one append; return whether there is more to send at once."""
+        message = self._next_message(box)
+        sent_ms = monotonic_ms()
+        try:
+            reply: AppendReply = await self._node.network.ask(
+                box, message, self._node.election_timeout_ms / 2
+            )
+        except PeerUnreachableError:
+            return False
+        if reply.term > self._term:
+            self._node.notice_term(reply.term)
+            return False
+        self._note(box, reply, sent_ms)
+        async with self._heard:
+            self._heard.notify_all()
+        return self._followers[box].next_index <= self._node.log.last_index
+
+    def _next_message(self, box: str) -> Append | InstallSnapshot:
+        log = self._node.log
+        next_index = min(self._followers[box].next_index, log.last_index + 1)
+        prev_term = log.term_at(next_index - 1)
+        if prev_term is None:
+            return InstallSnapshot(self._term, log.snapshot)
+        entries = log.entries_from(next_index, _ENTRIES_PER_APPEND)
+        return Append(self._term, next_index - 1, prev_term, entries, self._node.commit_index)
+
+    def _note(self, box: str, reply: AppendReply, sent_ms: float) -> None:
+        known = self._followers[box]
+        if reply.is_ok:
+            changed = known._replace(
+                next_index=reply.match_index + 1, match_index=reply.match_index
+            )
+        else:
+            hint = min(known.next_index - 1, reply.match_index + 1)
+            changed = known._replace(next_index=max(1, hint), match_index=0)
+        self._followers[box] = changed._replace(
+            heard_ms=sent_ms, storage_id=reply.storage_id, is_first=reply.is_first
+        )
+        self._pin(box, reply.storage_id, reply.is_first)
+        self._advance()
+
+    def _pin(self, box: str, storage_id: str, is_first: bool) -> None:
+        """Write down the data folder of a controller of a new system."""
+        if self._node.controllers.get(box) == ANY_STORAGE and is_first:
+            self._take_in(box, storage_id)
+
+    def _counts(self, box: str) -> bool:
+        """Return whether *box*'s answers count toward a majority."""
+        if box == self._node.box:
+            return self._node.may_vote
+        follower = self._followers.get(box)
+        if follower is None:
+            return False
+        return self._node.is_counted(box, follower.storage_id, follower.is_first)
+
+    def _is_heard_since(self, since_ms: float) -> bool:
+        heard = [
+            box
+            for box in self._node.controllers
+            if self._counts(box)
+            and (box == self._node.box or self._followers[box].heard_ms >= since_ms)
+        ]
+        return len(heard) >= self._node.majority
+
+    def _is_current_since(self, since_ms: float) -> bool:
+        return self._has_committed_own() and self._is_heard_since(since_ms)
+
+    def _has_committed_own(self) -> bool:
+        return self._node.commit_index >= self._first_index
+
+    def _advance(self) -> None:
+        """Commit what a majority holds, if it is of this term."""
+        log = self._node.log
+        matches = [
+            log.durable_index if box == self._node.box else self._followers[box].match_index
+            for box in self._node.controllers
+            if self._counts(box)
+        ]
+        if len(matches) < self._node.majority:
+            return
+        matches.sort(reverse=True)
+        agreed = matches[self._node.majority - 1]
+        if agreed > self._node.commit_index and log.term_at(agreed) == self._term:
+            self._node.commit(agreed)
+            self._pin(self._node.box, self._node.storage_id, self._node.is_first)
+            self._wake_all()
+
+    def _wake_all(self) -> None:
+        for wakeup in self._wakeups.values():
+            wakeup.set()
--- /dev/null
+++ b/src/foldloom/controllers/log.py
@@ -0,0 +1,169 @@
+# SPDX-License-Identifier: MIT
+"""The replicated log of one controller: entries in memory, written and synced in groups."""
+
+from __future__ import annotations
+
+import asyncio
+
+from foldloom.controllers.storage import Entry, LogStorage, Recovered, Snapshot, TermVote
+
+
+class ReplicatedLog:
+    """Entries after a snapshot, the term and the vote.
+
+    Every change on disk runs under one lock; a sync runs in a thread, so that the event
+    loop goes on. Whatever is appended while a sync runs goes into the next one.
+
+    Args:
+        storage: The opened storage.
+        recovered: What it held.
+    """
+
+    def __init__(self, storage: LogStorage, recovered: Recovered) -> None:
+        self._storage = storage
+        self._term_vote = recovered.term_vote
+        self._snapshot = recovered.snapshot
+        self._entries = list(recovered.entries)
+        self._written_index = self.last_index
+        self._durable_index = self.last_index
+        self._lock = asyncio.Lock()
+
+    @property
+    def term(self) -> int:
+        """The newest term known."""
+        return self._term_vote.term
+
+    @property
+    def voted_for(self) -> str:
+        """The candidate voted for in this term, or an empty string."""
+        return self._term_vote.voted_for
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The state that the entries follow."""
+        return self._snapshot
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry, synced or not."""
+        return self._snapshot.last_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the last entry."""
+        return self._entries[-1].term if self._entries else self._snapshot.term
+
+    @property
+    def durable_index(self) -> int:
+        """The index up to which entries are synced."""
+        return self._durable_index
+
+    @property
+    def entry_count(self) -> int:
+        """How many entries are kept after the snapshot."""
+        return len(self._entries)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at *index*, or ``None`` if it is not kept."""
+        if index == self._snapshot.last_index:
+            return self._snapshot.term
+        if not self._snapshot.last_index < index <= self.last_index:
+            return None
+        return self._entries[index - self._snapshot.last_index - 1].term
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at *index*."""
+        return self._entries[index - self._snapshot.last_index - 1]
+
+    def entries_from(self, index: int, most: int) -> list[Entry]:
+        """Return at most *most* entries from *index* on."""
+        start = index - self._snapshot.last_index - 1
+        return self._entries[start : start + most]
+
+    def add(self, payload: bytes) -> Entry:
+        """Append one entry of the leader in memory; :meth:`flush` makes it durable."""
+        entry = Entry(self.last_index + 1, self.term, payload)
+        self._entries.append(entry)
+        return entry
+
+    def drop_unwritten(self) -> None:
+        """Forget the entries that never went to disk."""
+        del self._entries[self._written_index - self._snapshot.last_index :]
+
+    async def flush(self) -> None:
+        """Write and sync everything that was added.
+
+        Raises:
+            OSError: The disk failed; nothing may be told any more.
+        """
+        async with self._lock:
+            fresh = self.entries_from(self._written_index + 1, len(self._entries))
+            if not fresh:
+                return
+            last = fresh[-1].log_index
+            self._storage.append(fresh)
+            self._written_index = last
+            await asyncio.to_thread(self._storage.sync)
+            self._durable_index = min(last, self.last_index)
+
+    async def save_term_vote(self, term: int, voted_for: str) -> None:
+        """Make a newer term, or a vote in this term, durable before it is told.
+
+        Raises:
+            OSError: The disk failed.
+        """
+        self._term_vote = TermVote(term, voted_for)
+        async with self._lock:
+            self._storage.save_term_vote(self._term_vote)
+            await asyncio.to_thread(self._storage.sync)
+
+    async def accept(self, entries: list[Entry]) -> None:
+        """Take a leader's *entries*; those that differ from ours replace ours, durably.
+
+        Raises:
+            OSError: The disk failed.
+        """
+        async with self._lock:
+            fresh = self._fresh_of(entries)
+            if not fresh:
+                return
+            first = fresh[0].log_index
+            if first <= self.last_index:
+                self._storage.cut_from(first)
+                del self._entries[first - self._snapshot.last_index - 1 :]
+            self._storage.append(fresh)
+            self._entries.extend(fresh)
+            self._written_index = self.last_index
+            await asyncio.to_thread(self._storage.sync)
+            self._durable_index = self.last_index
+
+    async def compact(self, snapshot: Snapshot) -> None:
+        """Replace the log up to ``snapshot.last_index`` by *snapshot*, durably.
+
+        Raises:
+            OSError: The disk failed.
+        """
+        async with self._lock:
+            if snapshot.last_index <= self._snapshot.last_index:
+                return
+            keeps_tail = self.term_at(snapshot.last_index) == snapshot.term
+            rest = (
+                self._entries[snapshot.last_index - self._snapshot.last_index :]
+                if keeps_tail
+                else []
+            )
+            written = [entry for entry in rest if entry.log_index <= self._written_index]
+            self._snapshot = snapshot
+            self._entries = rest
+            self._written_index = snapshot.last_index + len(written)
+            await asyncio.to_thread(self._storage.save_snapshot, snapshot, self._term_vote, written)
+            self._durable_index = self._written_index
+
+    def _fresh_of(self, entries: list[Entry]) -> list[Entry]:
+        """Return the tail of *entries* that this log does not hold."""
+        for position, entry in enumerate(entries):
+            if entry.log_index <= self._snapshot.last_index:
+                continue
+            if self.term_at(entry.log_index) != entry.term:
+                return entries[position:]
+        return []
--- /dev/null
+++ b/src/foldloom/controllers/node.py
@@ -0,0 +1,450 @@
+# SPDX-License-Identifier: MIT
+"""One controller of the replicated log: elections, following, applying what is committed.
+
+The rules are Raft's as published (Ongaro and Ousterhout, 2014), with trial votes before an
+election, step-down without a majority, and a data folder's identity behind every vote.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any
+
+from foldloom.controllers.config import Config
+from foldloom.controllers.leadership import ANY_STORAGE, Leadership
+from foldloom.controllers.log import ReplicatedLog
+from foldloom.controllers.messages import (
+    Append,
+    AppendReply,
+    BarrierReply,
+    InstallSnapshot,
+    Propose,
+    ProposeReply,
+    ReadBarrier,
+    Readmit,
+    RequestVote,
+    VoteReply,
+)
+from foldloom.controllers.state import Answer, ReplicatedState
+from foldloom.controllers.storage import LogStorage, Snapshot, format_folder, set_aside
+from foldloom.exceptions import LostMemoryError, NotLeaderError, PeerUnreachableError
+from foldloom.logs import CONTROLLER_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import Settings
+
+_SNAPSHOT_ENTRIES = 200
+_PROPOSE_TIMEOUT_MS = 5_000
+_READMIT_INTERVAL_S = 0.2
+
+
+def open_storage(settings: Settings) -> tuple[LogStorage, ReplicatedLog]:
+    """Open the data folder; one that lost its memory is set aside and made anew."""
+    storage = LogStorage(settings.data_folder, settings.timings.sync_delay_ms)
+    try:
+        recovered = storage.open()
+    except LostMemoryError as error:
+        CONTROLLER_LOG.error("Memory lost: {}. No vote until readmitted.", error)
+        set_aside(settings.data_folder)
+        format_folder(settings.data_folder, is_first=False)
+        storage = LogStorage(settings.data_folder, settings.timings.sync_delay_ms)
+        recovered = storage.open()
+    return storage, ReplicatedLog(storage, recovered)
+
+
+class ControllerNode:
+    """A controller.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        metrics: Counters.
+        initial: The configuration at version 0.
+        on_config: Called with each newer confirmed configuration.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: PeerNetwork,
+        metrics: Metrics,
+        initial: Config,
+        on_config: Callable[[Config], None],
+    ) -> None:
+        self.network = network
+        self.box = settings.box
+        self.election_timeout_ms = settings.timings.election_timeout_ms
+        self._metrics = metrics
+        self._on_config = on_config
+        self._storage, self.log = open_storage(settings)
+        self._state = ReplicatedState(initial)
+        self._commit_index = 0
+        self._applied_index = 0
+        self._leader = ""
+        self._leadership: Leadership | None = None
+        self._is_failed = False
+        self._heard_leader_ms = monotonic_ms()
+        self._turn = asyncio.Lock()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_compacting = False
+        self._load_snapshot(self.log.snapshot)
+        network.on(RequestVote, self._on_request_vote)
+        network.on(Append, self._on_append)
+        network.on(InstallSnapshot, self._on_install)
+        network.on(Propose, self._on_propose)
+        network.on(ReadBarrier, self._on_barrier)
+        network.on(Readmit, self._on_readmit)
+
+    @property
+    def state(self) -> ReplicatedState:
+        """The state after all applied entries."""
+        return self._state
+
+    @property
+    def commit_index(self) -> int:
+        """The index up to which entries are committed, as far as known here."""
+        return self._commit_index
+
+    @property
+    def leader(self) -> str:
+        """The leader's box as far as known, or an empty string."""
+        return self.box if self._leadership is not None else self._leader
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this controller leads, as far as it knows."""
+        return self._leadership is not None
+
+    @property
+    def leadership(self) -> Leadership | None:
+        """The present term of leading, if any."""
+        return self._leadership
+
+    @property
+    def controllers(self) -> dict[str, str]:
+        """The controllers of the configuration and their data folders' ids."""
+        return self._state.config.controllers
+
+    @property
+    def majority(self) -> int:
+        """How many controllers are more than half."""
+        return len(self.controllers) // 2 + 1
+
+    @property
+    def storage_id(self) -> str:
+        """This data folder's id."""
+        return self._storage.identity.storage_id
+
+    @property
+    def is_first(self) -> bool:
+        """Whether an operator formatted this data folder."""
+        return self._storage.identity.is_first
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this controller's memory counts."""
+        return not self._is_failed and self.is_counted(self.box, self.storage_id, self.is_first)
+
+    @property
+    def summary(self) -> dict[str, object]:
+        """Facts for ``foldloom status``."""
+        return {
+            "leader": self.leader,
+            "term": self.log.term,
+            "commit_index": self._commit_index,
+            "may_vote": self.may_vote,
+            "is_failed": self._is_failed,
+            "log_bytes": self._storage.log_bytes,
+            "bytes_written": self._storage.bytes_written,
+        }
+
+    def is_counted(self, box: str, storage_id: str, is_first: bool) -> bool:
+        """Return whether the configuration counts *box* with this data folder."""
+        expected = self.controllers.get(box, "")
+        if expected == ANY_STORAGE:
+            return is_first
+        return bool(storage_id) and expected == storage_id
+
+    async def run(self) -> None:
+        """Hold elections when no leader is heard, and ask to be counted, until cancelled."""
+        self._spawn(self._ask_readmission())
+        while True:
+            timeout = self.election_timeout_ms * random.uniform(1.0, 2.0)
+            await asyncio.sleep(timeout / 1_000)
+            silent_ms = monotonic_ms() - self._heard_leader_ms
+            if self.is_leading or not self.may_vote or silent_ms < self.election_timeout_ms:
+                continue
+            try:
+                await self._stand_for_election()
+            except OSError as error:
+                self.fail(error)
+
+    async def stop(self) -> None:
+        """End all tasks and close the storage."""
+        self.step_down()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._storage.close()
+
+    def fail(self, error: OSError) -> None:
+        """Stop taking part: after a failed write nothing that is told can be relied on."""
+        CONTROLLER_LOG.error("The disk failed: {}. This controller takes no part any more.", error)
+        self._is_failed = True
+        self.step_down()
+
+    def step_down(self) -> None:
+        """Stop leading."""
+        if self._leadership is None:
+            return
+        leadership, self._leadership = self._leadership, None
+        self._leader = ""
+        self.log.drop_unwritten()
+        leadership.stop()
+
+    def notice_term(self, term: int) -> None:
+        """Take over a newer *term* that a peer told of, in a task of its own."""
+        if term > self.log.term:
+            self._spawn(self._meet_term_in_turn(term))
+
+    async def _meet_term_in_turn(self, term: int) -> None:
+        async with self._turn:
+            try:
+                await self._meet_term(term)
+            except OSError as error:
+                self.fail(error)
+
+    async def _meet_term(self, term: int) -> None:
+        if term <= self.log.term:
+            return
+        self.step_down()
+        await self.log.save_term_vote(term, "")
+
+    def commit(self, index: int) -> None:
+        """Commit and apply the entries up to *index*."""
+        self._commit_index = max(self._commit_index, index)
+        version = self._state.config.version
+        while self._applied_index < min(self._commit_index, self.log.last_index):
+            entry = self.log.entry(self._applied_index + 1)
+            answer = self._state.apply(entry.payload)
+            self._applied_index = entry.log_index
+            if self._leadership is not None:
+                self._leadership.resolve(entry.log_index, answer)
+        if self._state.config.version != version:
+            self._adopt()
+        if self.log.entry_count > _SNAPSHOT_ENTRIES and not self._is_compacting:
+            self._is_compacting = True
+            self._spawn(self._compact())
+
+    async def propose(self, payload: bytes) -> Answer:
+        """Commit *payload* if this controller leads, and return its answer.
+
+        Raises:
+            NotLeaderError: It does not lead: nothing was appended.
+            PeerUnreachableError: It was appended and may still be committed.
+        """
+        leadership = self._leadership
+        if leadership is None:
+            raise NotLeaderError(self._leader)
+        try:
+            async with asyncio.timeout(_PROPOSE_TIMEOUT_MS / 1_000):
+                return await leadership.propose(payload)
+        except (TimeoutError, NotLeaderError):
+            raise PeerUnreachableError("no majority confirmed it; it may still be") from None
+
+    async def barrier(self) -> int:
+        """Return the newest confirmed version.
+
+        Raises:
+            NotLeaderError: This controller does not lead, or can't show it.
+        """
+        if self._leadership is None:
+            raise NotLeaderError(self._leader)
+        await self._leadership.barrier()
+        return self._state.config.version
+
+    def _adopt(self) -> None:
+        config = self._state.config
+        if self._leadership is not None:
+            if self.box in config.controllers:
+                self._leadership.follow_config()
+            else:
+                self.step_down()
+        self._on_config(config)
+
+    def _load_snapshot(self, snapshot: Snapshot) -> None:
+        if snapshot.last_index <= self._applied_index:
+            return
+        self._state.load(snapshot.state)
+        self._applied_index = snapshot.last_index
+        self._commit_index = max(self._commit_index, snapshot.last_index)
+        self._on_config(self._state.config)
+
+    async def _compact(self) -> None:
+        index = self._applied_index
+        term = self.log.term_at(index)
+        snapshot = Snapshot(index, term or 0, self._state.dump())
+        try:
+            await self.log.compact(snapshot)
+            CONTROLLER_LOG.info("Snapshot up to entry {}.", index)
+        except OSError as error:
+            self.fail(error)
+        finally:
+            self._is_compacting = False
+
+    async def _stand_for_election(self) -> None:
+        """Ask for trial votes, then for real ones; lead if a majority gives them."""
+        if not await self._gather_votes(self.log.term + 1, is_trial=True):
+            return
+        async with self._turn:
+            if monotonic_ms() - self._heard_leader_ms < self.election_timeout_ms:
+                return
+            term = self.log.term + 1
+            await self.log.save_term_vote(term, self.box)
+        self._leader = ""
+        CONTROLLER_LOG.info("Stand for election in term {}.", term)
+        if await self._gather_votes(term, is_trial=False) and self.log.term == term:
+            self._leader = ""
+            CONTROLLER_LOG.info("Lead in term {}.", term)
+            self._metrics.count("controller.elections-won")
+            self._leadership = Leadership(self)
+            self._leadership.start()
+
+    async def _gather_votes(self, term: int, is_trial: bool) -> bool:
+        request = RequestVote(term, self.log.last_index, self.log.last_term, is_trial)
+        others = [box for box in self.controllers if box != self.box]
+        votes = 1
+        if votes >= self.majority:
+            return True
+        asked = [self.network.ask(box, request, self.election_timeout_ms / 2) for box in others]
+        for box, reply in zip(others, await _settled(asked), strict=True):
+            if reply is None:
+                continue
+            if reply.term > term:
+                self.notice_term(reply.term)
+                return False
+            if reply.is_granted and self.is_counted(box, reply.storage_id, reply.is_first):
+                votes += 1
+        return votes >= self.majority
+
+    async def _on_request_vote(self, sender: str, request: RequestVote) -> VoteReply | None:
+        async with self._turn:
+            if self._is_failed:
+                return None
+            try:
+                is_granted = await self._judge_vote(sender, request)
+            except OSError as error:
+                self.fail(error)
+                return None
+            return VoteReply(self.log.term, is_granted, self.storage_id, self.is_first)
+
+    async def _judge_vote(self, sender: str, request: RequestVote) -> bool:
+        """Return whether *sender* gets the vote; a real vote is durable by then."""
+        silent_ms = monotonic_ms() - self._heard_leader_ms
+        if self.is_leading or silent_ms < self.election_timeout_ms:
+            return False
+        is_recent = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if not self.may_vote or request.term < self.log.term or not is_recent:
+            return False
+        if request.is_trial:
+            return request.term > self.log.term
+        voted_for = self.log.voted_for if request.term == self.log.term else ""
+        if voted_for not in ("", sender):
+            return False
+        await self.log.save_term_vote(request.term, sender)
+        self._heard_leader_ms = monotonic_ms()
+        return True
+
+    async def _on_append(self, sender: str, message: Append) -> AppendReply | None:
+        async with self._turn:
+            try:
+                return await self._follow(sender, message)
+            except OSError as error:
+                self.fail(error)
+                return None
+
+    async def _follow(self, sender: str, message: Append) -> AppendReply | None:
+        if not await self._accept_leader(sender, message.term):
+            return None if self._is_failed else self._append_reply(False, 0)
+        if message.prev_index > self.log.last_index:
+            return self._append_reply(False, self.log.last_index)
+        prev_term = self.log.term_at(message.prev_index)
+        if prev_term is not None and prev_term != message.prev_term:
+            return self._append_reply(False, max(self._commit_index, message.prev_index - 1))
+        if prev_term is None and message.prev_index > self.log.snapshot.last_index:
+            return self._append_reply(False, self.log.snapshot.last_index)
+        await self.log.accept(message.entries)
+        self._heard_leader_ms = monotonic_ms()
+        match_index = message.prev_index + len(message.entries)
+        self.commit(min(message.commit_index, match_index))
+        return self._append_reply(True, match_index)
+
+    async def _on_install(self, sender: str, message: InstallSnapshot) -> AppendReply | None:
+        async with self._turn:
+            try:
+                if not await self._accept_leader(sender, message.term):
+                    return None if self._is_failed else self._append_reply(False, 0)
+                await self.log.compact(message.snapshot)
+            except OSError as error:
+                self.fail(error)
+                return None
+            self._load_snapshot(message.snapshot)
+            return self._append_reply(True, message.snapshot.last_index)
+
+    async def _accept_leader(self, sender: str, term: int) -> bool:
+        """Return whether *sender* leads in *term*; note that it was heard."""
+        if self._is_failed or term < self.log.term:
+            return False
+        if term > self.log.term:
+            await self._meet_term(term)
+        if self._leader != sender:
+            CONTROLLER_LOG.info("Follow {} in term {}.", sender, term)
+        self._leader = sender
+        self._heard_leader_ms = monotonic_ms()
+        return True
+
+    def _append_reply(self, is_ok: bool, match_index: int) -> AppendReply:
+        return AppendReply(self.log.term, is_ok, match_index, self.storage_id, self.is_first)
+
+    async def _on_propose(self, _sender: str, message: Propose) -> ProposeReply:
+        try:
+            answer = await self.propose(message.payload)
+        except NotLeaderError as error:
+            return ProposeReply(None, False, error.leader)
+        except PeerUnreachableError:
+            return ProposeReply(None, True, self.leader)
+        return ProposeReply(answer, False, self.box)
+
+    async def _on_barrier(self, _sender: str, _message: ReadBarrier) -> BarrierReply:
+        try:
+            return BarrierReply(True, await self.barrier(), self.box)
+        except NotLeaderError as error:
+            return BarrierReply(False, 0, error.leader)
+
+    def _on_readmit(self, sender: str, message: Readmit) -> None:
+        if self._leadership is not None and sender in self.controllers:
+            self._leadership.admit(sender, message.storage_id)
+
+    async def _ask_readmission(self) -> None:
+        """While this controller is not counted, ask the leader to take it in."""
+        while True:
+            await asyncio.sleep(_READMIT_INTERVAL_S)
+            if self.may_vote or self._is_failed or not self._leader:
+                continue
+            self.network.tell(self._leader, Readmit(self.storage_id))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _settled(asked: Sequence[Awaitable[Any]]) -> list[Any]:
+    """Await all of *asked*; ``None`` for those that did not answer."""
+    replies = await asyncio.gather(*asked, return_exceptions=True)
+    return [None if isinstance(reply, BaseException) else reply for reply in replies]
--- /dev/null
+++ b/src/foldloom/controllers/plans.py
@@ -0,0 +1,320 @@
+# SPDX-License-Identifier: MIT
+"""From intents to a plan: what a confirm would change, in words and as data."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any, Literal, NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import UNSET, UnsetType
+
+from foldloom.controllers.config import (
+    ACTIVE,
+    BOXES,
+    CONTROLLERS,
+    LEAVING,
+    MEMBERS,
+    RESTART_NEVER,
+    SERVICES,
+    WORKERS,
+    BoxList,
+    Change,
+    Config,
+    Member,
+    Service,
+    Worker,
+    apply_changes,
+    section_value,
+)
+from foldloom.ids import content_digest
+
+INTENTS_MAX = 5_000
+
+
+class ServiceIntent(msgspec.Struct, tag_field="kind", tag="service", forbid_unknown_fields=True):
+    """Create or change a service; a field left out keeps its value."""
+
+    name: str
+    workers: list[str] | UnsetType = UNSET
+    concurrency_max: int | UnsetType = UNSET
+    restart: Literal["never", "after-worker-death"] | UnsetType = UNSET
+
+
+class WorkerIntent(msgspec.Struct, tag_field="kind", tag="worker", forbid_unknown_fields=True):
+    """Let a worker join, or change it; it becomes active."""
+
+    name: str
+    endpoint: str | UnsetType = UNSET
+    zone: str | UnsetType = UNSET
+    slots: int | UnsetType = UNSET
+
+
+class WorkerLeavingIntent(
+    msgspec.Struct, tag_field="kind", tag="worker-leaving", forbid_unknown_fields=True
+):
+    """Give a worker no new work."""
+
+    name: str
+
+
+class MemberIntent(msgspec.Struct, tag_field="kind", tag="member", forbid_unknown_fields=True):
+    """Create or change a member; a field left out keeps its value."""
+
+    name: str
+    quota: int | UnsetType = UNSET
+    concurrency_max: int | UnsetType = UNSET
+
+
+class RemoveIntent(msgspec.Struct, tag_field="kind", tag="remove", forbid_unknown_fields=True):
+    """Remove a service, a worker or a member."""
+
+    section: Literal["services", "workers", "members"]
+    name: str
+
+
+class BoxJoiningIntent(
+    msgspec.Struct, tag_field="kind", tag="box-joining", forbid_unknown_fields=True
+):
+    """Let a box hold claims."""
+
+    name: str
+    zone: str
+
+
+class BoxLeavingIntent(
+    msgspec.Struct, tag_field="kind", tag="box-leaving", forbid_unknown_fields=True
+):
+    """Let a box hold no claims any more."""
+
+    name: str
+
+
+class BoxDeadIntent(msgspec.Struct, tag_field="kind", tag="box-dead", forbid_unknown_fields=True):
+    """Declare that a box of the old list will never come back with its memory."""
+
+    name: str
+
+
+class ControllerReplaceIntent(
+    msgspec.Struct, tag_field="kind", tag="controller-replace", forbid_unknown_fields=True
+):
+    """Put the controller ``new`` in the place of ``old``."""
+
+    old: str
+    new: str
+
+
+Intent = (
+    ServiceIntent
+    | WorkerIntent
+    | WorkerLeavingIntent
+    | MemberIntent
+    | RemoveIntent
+    | BoxJoiningIntent
+    | BoxLeavingIntent
+    | BoxDeadIntent
+    | ControllerReplaceIntent
+)
+
+
+class Plan(NamedTuple):
+    """What confirming intents would change.
+
+    Args:
+        base_version: The configuration that the plan was made against.
+        changes: Every change, with the value before and after.
+        digest: Names the changes; equal changes have equal digests.
+    """
+
+    base_version: int
+    changes: list[Change]
+    digest: str
+
+    @property
+    def words(self) -> list[str]:
+        """One sentence a change."""
+        return [_sentence(change) for change in self.changes]
+
+
+def parse_intents(raw: Any) -> Result[list[Intent], str]:
+    """Check *raw* (a list of JSON objects) and return the intents, or what is wrong."""
+    if not isinstance(raw, list) or not raw:
+        return Error("intents: expected a list that is not empty")
+    if len(raw) > INTENTS_MAX:
+        return Error(f"intents: more than {INTENTS_MAX}")
+    try:
+        return Ok(msgspec.convert(raw, list[Intent]))
+    except msgspec.ValidationError as error:
+        return Error(f"intents: {error}")
+
+
+def make_plan(config: Config, intents: list[Intent]) -> Result[Plan, str]:
+    """Return the plan that *intents* mean on *config*, or why there is none."""
+    working = config
+    touched: list[tuple[str, str]] = []
+    for intent in intents:
+        steps = _steps(intent, working)
+        if steps.is_error():
+            return Error(steps.error)
+        for section, name, after in steps.ok:
+            change = Change(section=section, name=name, after=after)
+            working = apply_changes(working, [change], working.version)
+            if (section, name) not in touched:
+                touched.append((section, name))
+    changes = []
+    for section, name in touched:
+        before = section_value(config, section, name)
+        after = section_value(working, section, name)
+        if before != after:
+            changes.append(Change(section=section, name=name, before=before, after=after))
+    return Ok(Plan(config.version, changes, content_digest(changes)))
+
+
+Step = Result[list[tuple[str, str, Any]], str]
+
+
+@singledispatch
+def _steps(intent: Any, _config: Config) -> Step:
+    """Return the values (section, name, after) that *intent* sets."""
+    raise TypeError(f"no plan for {type(intent).__name__}")
+
+
+@_steps.register
+def _service(intent: ServiceIntent, config: Config) -> Step:
+    known = config.services.get(intent.name)
+    base = known or Service(workers=["*"], concurrency_max=0, restart=RESTART_NEVER)
+    after = _merged(base, intent, ("workers", "concurrency_max", "restart"))
+    return Ok([(SERVICES, intent.name, after)])
+
+
+@_steps.register
+def _worker(intent: WorkerIntent, config: Config) -> Step:
+    known = config.workers.get(intent.name)
+    if known is None and (intent.endpoint is UNSET or intent.zone is UNSET):
+        return Error(f"worker {intent.name}: endpoint and zone are required for a new worker")
+    base = known or Worker(endpoint="", zone="", slots=8, state=ACTIVE)
+    after = _merged(base, intent, ("endpoint", "zone", "slots"))
+    after["state"] = ACTIVE
+    if after["slots"] < 1:
+        return Error(f"worker {intent.name}: slots must be at least 1")
+    if not str(after["endpoint"]).startswith(("http://", "https://")):
+        return Error(f"worker {intent.name}: endpoint must be an http or https URL")
+    return Ok([(WORKERS, intent.name, after)])
+
+
+@_steps.register
+def _worker_leaving(intent: WorkerLeavingIntent, config: Config) -> Step:
+    known = config.workers.get(intent.name)
+    if known is None:
+        return Error(f"worker {intent.name}: unknown")
+    return Ok([(WORKERS, intent.name, {**known, "state": LEAVING})])
+
+
+@_steps.register
+def _member(intent: MemberIntent, config: Config) -> Step:
+    base = config.members.get(intent.name) or Member(quota=1, concurrency_max=0)
+    after = _merged(base, intent, ("quota", "concurrency_max"))
+    if after["quota"] < 1:
+        return Error(f"member {intent.name}: quota must be at least 1")
+    return Ok([(MEMBERS, intent.name, after)])
+
+
+@_steps.register
+def _remove(intent: RemoveIntent, config: Config) -> Step:
+    if section_value(config, intent.section, intent.name) is None:
+        return Error(f"{intent.section} {intent.name}: unknown")
+    return Ok([(intent.section, intent.name, None)])
+
+
+def _coming_boxes(config: Config) -> dict[str, str]:
+    boxes = config.boxes
+    return dict(boxes["current"] if boxes["next"] is None else boxes["next"])
+
+
+@_steps.register
+def _box_joining(intent: BoxJoiningIntent, config: Config) -> Step:
+    coming = _coming_boxes(config)
+    coming[intent.name] = intent.zone
+    return _next_boxes(config, coming)
+
+
+@_steps.register
+def _box_leaving(intent: BoxLeavingIntent, config: Config) -> Step:
+    coming = _coming_boxes(config)
+    if intent.name not in coming:
+        return Error(f"box {intent.name}: unknown")
+    del coming[intent.name]
+    if not coming:
+        return Error("boxes: the last box can't leave")
+    return _next_boxes(config, coming)
+
+
+def _next_boxes(config: Config, coming: dict[str, str]) -> Step:
+    boxes = config.boxes
+    if boxes["next"] is not None and boxes["next"] != coming:
+        return Error("boxes: the change before is still joint")
+    if coming == boxes["current"]:
+        return Ok([(BOXES, "list", boxes)])
+    after = BoxList(
+        epoch=boxes["epoch"] + 1, current=boxes["current"], next=coming, dead=boxes["dead"]
+    )
+    return Ok([(BOXES, "list", after)])
+
+
+@_steps.register
+def _box_dead(intent: BoxDeadIntent, config: Config) -> Step:
+    boxes = config.boxes
+    if intent.name not in boxes["current"]:
+        return Error(f"box {intent.name}: unknown")
+    after = BoxList(
+        epoch=boxes["epoch"],
+        current=boxes["current"],
+        next=boxes["next"],
+        dead=sorted({*boxes["dead"], intent.name}),
+    )
+    return Ok([(BOXES, "list", after)])
+
+
+@_steps.register
+def _controller_replace(intent: ControllerReplaceIntent, config: Config) -> Step:
+    if intent.old not in config.controllers:
+        return Error(f"controller {intent.old}: unknown")
+    if intent.new in config.controllers:
+        return Error(f"controller {intent.new}: is one already")
+    if any(not storage for storage in config.controllers.values()):
+        return Error("controllers: one is still being taken in")
+    return Ok([(CONTROLLERS, intent.old, None), (CONTROLLERS, intent.new, "")])
+
+
+def _merged(base: Any, intent: msgspec.Struct, fields: tuple[str, ...]) -> dict[str, Any]:
+    """Return *base* with the *fields* that *intent* sets."""
+    after = dict(base)
+    for field in fields:
+        value = getattr(intent, field)
+        if value is not UNSET:
+            after[field] = value
+    return after
+
+
+def _sentence(change: Change) -> str:
+    """Return *change* in words."""
+    before, after = change.get("before"), change.get("after")
+    subject = f"{change['section']} {change['name']}"
+    if before is None:
+        return f"{subject}: add {_shown(after)}."
+    if after is None:
+        return f"{subject}: remove."
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        return f"{subject}: from {_shown(before)} to {_shown(after)}."
+    parts = [
+        f"{key} from {_shown(before.get(key))} to {_shown(value)}"
+        for key, value in after.items()
+        if before.get(key) != value
+    ]
+    return f"{subject}: {', '.join(parts)}."
+
+
+def _shown(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/src/foldloom/controllers/state.py
@@ -0,0 +1,249 @@
+# SPDX-License-Identifier: MIT
+"""The replicated state: the configuration, the commands already answered, the boxes' lives.
+
+Every controller applies the same committed entries in the same order, so all hold the
+same state. Nothing here reads a clock or a random number.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any, NamedTuple
+
+import msgspec
+
+from foldloom.controllers.config import (
+    BOXES,
+    CONTROLLERS,
+    BoxList,
+    Change,
+    Config,
+    apply_changes,
+    decode_config,
+    encode_config,
+)
+from foldloom.controllers.plans import Plan, make_plan, parse_intents
+
+COMMANDS_KEPT = 10_000
+CHANGES_KEPT = 256
+
+
+class ConfirmCommand(msgspec.Struct, tag="confirm", array_like=True, frozen=True):
+    """Put intents in force if they still mean the changes that *digest* names."""
+
+    command: str
+    digest: str
+    intents: list[Any]
+
+
+class IncarnationCommand(msgspec.Struct, tag="incarnation", array_like=True, frozen=True):
+    """Record that *box* started a life numbered *incarnation*."""
+
+    box: str
+    incarnation: int
+
+
+class VoterReadyCommand(msgspec.Struct, tag="voter-ready", array_like=True, frozen=True):
+    """Count the controller *box* again, now with the data folder *storage_id*."""
+
+    box: str
+    storage_id: str
+
+
+class BoxesSettledCommand(msgspec.Struct, tag="boxes-settled", array_like=True, frozen=True):
+    """End the joint box list of *epoch*: the next list is the only one."""
+
+    epoch: int
+
+
+Command = ConfirmCommand | IncarnationCommand | VoterReadyCommand | BoxesSettledCommand
+
+_COMMANDS = msgspec.msgpack.Decoder(Command)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Answer(NamedTuple):
+    """What a command came to.
+
+    Args:
+        status: 200 if done, 409 for a conflict, 400 if the intents are wrong.
+        version: The configuration version after it.
+        detail: For people.
+        plan: With 409, the fresh plan.
+        number: For an incarnation, the one recorded before (0: first boot).
+    """
+
+    status: int
+    version: int = 0
+    detail: str = ""
+    plan: Plan | None = None
+    number: int = 0
+
+
+class ChangeSet(NamedTuple):
+    """The changes that made a version from the one before."""
+
+    version: int
+    changes: list[Change]
+
+
+class _Saved(NamedTuple):
+    """The state as a snapshot holds it."""
+
+    config: bytes
+    commands: list[tuple[str, str, Answer]]
+    incarnations: dict[str, tuple[int, int]]
+    change_sets: list[ChangeSet]
+
+
+_SAVED = msgspec.msgpack.Decoder(_Saved)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the bytes of *command* for a log entry."""
+    return _ENCODER.encode(command)
+
+
+def decode_command(payload: bytes) -> Command:
+    """Return the command in a log entry's *payload*."""
+    return _COMMANDS.decode(payload)
+
+
+class ReplicatedState:
+    """The state that the log's entries build.
+
+    Args:
+        config: The configuration at version 0.
+    """
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        self._answers: dict[str, tuple[str, Answer]] = {}
+        self._incarnations: dict[str, tuple[int, int]] = {}
+        self._change_sets: list[ChangeSet] = []
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force."""
+        return self._config
+
+    @property
+    def command_count(self) -> int:
+        """How many commands' answers are kept."""
+        return len(self._answers)
+
+    def changes_since(self, version: int) -> list[ChangeSet] | None:
+        """Return the change sets after *version*, or ``None`` if they are kept no longer."""
+        missing = self._config.version - version
+        if missing > len(self._change_sets) or missing < 0:
+            return None
+        return self._change_sets[len(self._change_sets) - missing :]
+
+    def apply(self, payload: bytes) -> Answer:
+        """Apply one committed entry and return what it came to."""
+        if not payload:
+            return Answer(200, self._config.version)
+        return _apply(decode_command(payload), self)
+
+    def dump(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        commands = [(name, digest, answer) for name, (digest, answer) in self._answers.items()]
+        saved = _Saved(encode_config(self._config), commands, self._incarnations, self._change_sets)
+        return _ENCODER.encode(saved)
+
+    def load(self, data: bytes) -> None:
+        """Replace the state by the one that :meth:`dump` gave."""
+        saved = _SAVED.decode(data)
+        self._config = decode_config(saved.config)
+        self._answers = {name: (digest, answer) for name, digest, answer in saved.commands}
+        self._incarnations = dict(saved.incarnations)
+        self._change_sets = list(saved.change_sets)
+
+    def confirm(self, command: ConfirmCommand) -> Answer:
+        """Apply a confirm; a command id answered before gets the same answer again."""
+        content = command.digest
+        known = self._answers.get(command.command)
+        if known is not None:
+            digest, answer = known
+            if digest == content:
+                return answer
+            return Answer(409, self._config.version, "this command id was used for other content")
+        answer = self._judge(command)
+        self._answers[command.command] = (content, answer)
+        while len(self._answers) > COMMANDS_KEPT:
+            del self._answers[next(iter(self._answers))]
+        return answer
+
+    def record_incarnation(self, command: IncarnationCommand) -> Answer:
+        """Record a box's life; the answer's number is the one before, also when resent."""
+        newest, before = self._incarnations.get(command.box, (0, 0))
+        if command.incarnation > newest:
+            newest, before = command.incarnation, newest
+            self._incarnations[command.box] = (newest, before)
+        return Answer(200, self._config.version, number=before)
+
+    def take_in(self, command: VoterReadyCommand) -> Answer:
+        """Count a controller again under its new storage id."""
+        if command.box not in self._config.controllers:
+            return Answer(409, self._config.version, "no controller of this configuration")
+        self._change([_controller_change(self._config, command)])
+        return Answer(200, self._config.version)
+
+    def settle_boxes(self, command: BoxesSettledCommand) -> Answer:
+        """End a joint box list."""
+        boxes = self._config.boxes
+        if boxes["next"] is None or boxes["epoch"] != command.epoch:
+            return Answer(409, self._config.version, "no such joint box list")
+        after = BoxList(epoch=command.epoch + 1, current=boxes["next"], next=None, dead=[])
+        self._change([Change(section=BOXES, name="list", before=boxes, after=after)])
+        return Answer(200, self._config.version)
+
+    def _judge(self, command: ConfirmCommand) -> Answer:
+        intents = parse_intents(command.intents)
+        if intents.is_error():
+            return Answer(400, self._config.version, intents.error)
+        planned = make_plan(self._config, intents.ok)
+        if planned.is_error():
+            return Answer(409, self._config.version, planned.error)
+        plan = planned.ok
+        if plan.digest != command.digest:
+            detail = "the configuration moved in what this plan touches"
+            return Answer(409, self._config.version, detail, plan)
+        self._change(plan.changes)
+        return Answer(200, self._config.version)
+
+    def _change(self, changes: list[Change]) -> None:
+        version = self._config.version + 1
+        self._config = apply_changes(self._config, changes, version)
+        self._change_sets.append(ChangeSet(version, changes))
+        del self._change_sets[:-CHANGES_KEPT]
+
+
+def _controller_change(config: Config, command: VoterReadyCommand) -> Change:
+    before = config.controllers[command.box]
+    return Change(section=CONTROLLERS, name=command.box, before=before, after=command.storage_id)
+
+
+@singledispatch
+def _apply(command: Any, _state: ReplicatedState) -> Answer:
+    raise TypeError(f"no effect for {type(command).__name__}")
+
+
+@_apply.register
+def _(command: ConfirmCommand, state: ReplicatedState) -> Answer:
+    return state.confirm(command)
+
+
+@_apply.register
+def _(command: IncarnationCommand, state: ReplicatedState) -> Answer:
+    return state.record_incarnation(command)
+
+
+@_apply.register
+def _(command: VoterReadyCommand, state: ReplicatedState) -> Answer:
+    return state.take_in(command)
+
+
+@_apply.register
+def _(command: BoxesSettledCommand, state: ReplicatedState) -> Answer:
+    return state.settle_boxes(command)
--- /dev/null
+++ b/src/foldloom/daemon.py
@@ -0,0 +1,47 @@
+# SPDX-License-Identifier: MIT
+"""``foldloomd SETTINGS.yaml``: run one box until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import uvloop
+
+from foldloom.box import Box
+from foldloom.exceptions import SettingsError
+from foldloom.logs import start_logging
+from foldloom.settings import Settings, load_settings
+
+_EXIT_USAGE = 2
+
+
+async def run_box(settings: Settings) -> None:
+    """Run a box; SIGTERM or SIGINT begins the planned stop, further ones change nothing."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    box = Box(settings)
+    await box.start()
+    await stop.wait()
+    await box.stop()
+
+
+def main() -> None:
+    """Read the settings named on the command line and run the box."""
+    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
+        print("usage: foldloomd SETTINGS.yaml", file=sys.stderr)
+        raise SystemExit(_EXIT_USAGE)
+    try:
+        settings = load_settings(sys.argv[1])
+    except SettingsError as error:
+        print(f"foldloomd: {error}", file=sys.stderr)
+        raise SystemExit(_EXIT_USAGE) from None
+    start_logging(settings.logs)
+    uvloop.run(run_box(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/foldloom/entry/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""The entry role: callers' HTTP, jobs, operators' HTTP."""
--- /dev/null
+++ b/src/foldloom/entry/coordinator.py
@@ -0,0 +1,248 @@
+# SPDX-License-Identifier: MIT
+"""A caller's job from its arrival to its one response: claim, run or follow, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from foldloom.claims.acquire import AcquireResult, Acquisition, ClaimAcquirer
+from foldloom.claims.messages import Claim, Lookup, LookupReply
+from foldloom.claims.service import ClaimService
+from foldloom.entry.follow import CONFLICT, Followed, FollowEnd, Follower
+from foldloom.entry.jobs import (
+    Job,
+    JobState,
+    JobTable,
+    Response,
+    complete_response,
+    problem_response,
+)
+from foldloom.entry.requests import JobRequest
+from foldloom.entry.run import JobRun, RunContext
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.ids import zone_of
+from foldloom.logs import CLAIM_LOG, ENTRY_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import Settings
+from foldloom.verdicts import Problem, may_have_run, not_run
+
+_CLAIM_TRIES = 4
+_BACKOFF_MIN_S = 0.002
+_BACKOFF_MAX_S = 0.02
+_RETRY_AFTER_MS = 500
+_STOPPING_RETRY_AFTER_MS = 100
+
+
+class Coordinator:
+    """Take jobs at this box.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        claims: This box's claim replica.
+        acquirer: Gets claims for this box.
+        follower: Follows jobs on other boxes.
+        jobs: This box's jobs.
+        context: What its runs share.
+        metrics: Counters.
+        is_stopping: Returns whether a planned stop began.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: PeerNetwork,
+        claims: ClaimService,
+        acquirer: ClaimAcquirer,
+        follower: Follower,
+        jobs: JobTable,
+        context: RunContext,
+        metrics: Metrics,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._claims = claims
+        self._acquirer = acquirer
+        self._follower = follower
+        self._jobs = jobs
+        self._context = context
+        self._metrics = metrics
+        self._is_stopping = is_stopping
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def submit(self, submission: str, request: JobRequest) -> Response:
+        """Return the one response of *submission*; the same call again gets the same one."""
+        self._metrics.count("jobs.submitted")
+        job = self._jobs.get(submission)
+        if job is not None and (job.is_open or job.state is JobState.DONE):
+            if job.digest != request.digest:
+                return self._refusal(submission, CONFLICT)
+            ENTRY_LOG.info("Job {} is known here: attach.", submission)
+        else:
+            job = self._jobs.start(submission, request.digest)
+            task = asyncio.create_task(self._serve(job, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await job.wait_finished()
+        assert job.response is not None
+        return job.response
+
+    async def peek(self, submission: str) -> Response | None:
+        """Return what is known of *submission* anywhere; start nothing.
+
+        ``None`` stands for a job that runs now.
+        """
+        job = self._jobs.get(submission)
+        if job is not None and job.state is not JobState.FOLLOWING:
+            return job.response
+        holders, is_sure = await self._look_up(submission)
+        for holder in holders:
+            deadline_ms = monotonic_ms() + self._settings.timings.claim_timeout_ms
+            followed = await self._follower.follow(
+                submission, holder.digest, holder, deadline_ms, is_waiting=False
+            )
+            if followed.how is not FollowEnd.RELEASED:
+                return followed.response
+        if is_sure:
+            return self._refusal(submission, not_run("unknown", "no such job", status=404))
+        return self._refusal(submission, self._no_quorum(submission, "too few claim replicas"))
+
+    async def finish_all(self) -> None:
+        """Return when no job of this box is open."""
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def _look_up(self, submission: str) -> tuple[list[Claim], bool]:
+        """Return the claims that the replicas hold, and whether a majority was asked."""
+        replicas = self._claims.replicas_of(submission)
+        asked = [self._look_up_at(box, submission) for box in replicas.boxes]
+        replies = dict(zip(replicas.boxes, await asyncio.gather(*asked), strict=True))
+        holders = [claim for reply in replies.values() if reply for claim in reply.holders]
+        sure = {box for box, reply in replies.items() if reply is not None and reply.can_vote}
+        return list(dict.fromkeys(holders)), replicas.is_majority(sure)
+
+    async def _look_up_at(self, box: str, submission: str) -> LookupReply | None:
+        try:
+            timeout_ms = self._settings.timings.claim_timeout_ms
+            return await self._network.ask(box, Lookup(submission), timeout_ms)
+        except PeerUnreachableError:
+            return None
+
+    async def _serve(self, job: Job, request: JobRequest) -> None:
+        """Bring *job* to its response; it goes on when the caller has left."""
+        try:
+            await self._claim_and_run(job, request)
+        except Exception:
+            ENTRY_LOG.exception("Job {}: an internal error.", job.submission)
+            problem = may_have_run("internal-error", "see the box's log", status=500)
+            self._end(job, JobState.DONE, self._refusal(job.submission, problem))
+
+    async def _claim_and_run(self, job: Job, request: JobRequest) -> None:
+        began_ms = monotonic_ms()
+        deadline_ms = began_ms + request.deadline_ms
+        result = None
+        for _ in range(_CLAIM_TRIES):
+            result = await self._acquirer.acquire(job.submission, job.digest, job.attempt)
+            if result.how is Acquisition.WON:
+                self._metrics.timing("claim_ms", monotonic_ms() - began_ms)
+                await self._run(job, request, began_ms, deadline_ms)
+                return
+            CLAIM_LOG.info(
+                "Job {}: claim {} ({}).", job.submission, result.how.value, result.detail
+            )
+            job.decide(JobState.FOLLOWING)
+            self._acquirer.withdraw(job.submission, job.attempt)
+            response = await self._follow_holders(job, result, deadline_ms)
+            if response is not None:
+                self._end(job, JobState.FOLLOWING, response)
+                return
+            await asyncio.sleep(random.uniform(_BACKOFF_MIN_S, _BACKOFF_MAX_S))
+            job.claim_again()
+        job.decide(JobState.FOLLOWING)
+        detail = "" if result is None else result.detail
+        response = self._refusal(job.submission, self._no_quorum(job.submission, detail))
+        self._end(job, JobState.FOLLOWING, response)
+
+    async def _follow_holders(
+        self, job: Job, result: AcquireResult, deadline_ms: float
+    ) -> Response | None:
+        """Return another coordinator's response, or ``None`` if every claim met is withdrawn."""
+        for holder in result.holders:
+            followed = await self._follow(job, holder, deadline_ms)
+            if followed.how is FollowEnd.RESPONSE:
+                return followed.response
+            self._acquirer.release_held(job.submission, holder)
+        return None
+
+    async def _follow(self, job: Job, holder: Claim, deadline_ms: float) -> Followed:
+        is_own_life = (
+            holder.coordinator == self._settings.box
+            and holder.incarnation == self._network.incarnation
+        )
+        if is_own_life:
+            # An earlier attempt of this box: it started nothing, else the job were known here.
+            return Followed(FollowEnd.RELEASED, None)
+        ENTRY_LOG.info("Job {}: follow it on {}.", job.submission, holder.coordinator)
+        return await self._follower.follow(job.submission, job.digest, holder, deadline_ms)
+
+    async def _run(
+        self, job: Job, request: JobRequest, began_ms: float, deadline_ms: float
+    ) -> None:
+        """Run a job that holds its claim; withdraw the claim if nothing started."""
+        refusal = self._refuse_now()
+        if refusal is not None:
+            self._withdraw(job, refusal)
+            return
+        self._jobs.run(job)
+        run = JobRun(self._context, job.submission, request, deadline_ms)
+        result = await run.execute()
+        if result.is_error():
+            if result.error.verdict.value == "refused":
+                self._withdraw(job, result.error)
+                return
+            ENTRY_LOG.info("Job {} failed: {}.", job.submission, result.error.reason)
+            self._metrics.count(f"jobs.failed.{result.error.reason}")
+            self._end(job, JobState.DONE, self._refusal(job.submission, result.error))
+            return
+        taken_ms = monotonic_ms() - began_ms
+        self._metrics.count("jobs.completed")
+        self._metrics.timing("job_ms", taken_ms)
+        if run.longest_ms > 0:
+            self._metrics.timing("response_over_longest_permille", taken_ms / run.longest_ms * 1000)
+        ENTRY_LOG.info("Job {} is complete in {:.0f} ms.", job.submission, taken_ms)
+        response = complete_response(job.submission, self._settings.zone, result.ok)
+        self._end(job, JobState.DONE, response)
+
+    def _refuse_now(self) -> Problem | None:
+        """Return why no job may begin on this box now, if so."""
+        if self._is_stopping():
+            return not_run("stopping", "this box is being stopped", _STOPPING_RETRY_AFTER_MS)
+        if self._jobs.running_count >= self._settings.limits.jobs_in_flight_max:
+            return not_run("too-many-jobs", "this box runs as many jobs as it may", _RETRY_AFTER_MS)
+        return None
+
+    def _withdraw(self, job: Job, problem: Problem) -> None:
+        """Refuse *job*: it holds the claim, so nothing of it ran anywhere."""
+        self._acquirer.withdraw(job.submission, job.attempt)
+        ENTRY_LOG.info("Job {} refused: {}.", job.submission, problem.reason)
+        self._metrics.count(f"jobs.refused.{problem.reason}")
+        self._end(job, JobState.WITHDRAWN, self._refusal(job.submission, problem))
+
+    def _end(self, job: Job, state: JobState, response: Response) -> None:
+        self._jobs.finish(job, state, response)
+
+    def _refusal(self, submission: str, problem: Problem) -> Response:
+        return problem_response(submission, self._settings.zone, problem)
+
+    def _no_quorum(self, submission: str, detail: str) -> Problem:
+        """Return the problem of a claim that no majority could judge.
+
+        It can't be called not-run: a box that can't be reached may run the submission.
+        """
+        if not zone_of(submission):
+            detail += f"; ids that begin with {self._settings.zone}~ need this zone only"
+        return may_have_run("claim-no-quorum", detail, _RETRY_AFTER_MS, status=503)
--- /dev/null
+++ b/src/foldloom/entry/follow.py
@@ -0,0 +1,205 @@
+# SPDX-License-Identifier: MIT
+"""A resubmission that meets another box's claim gets that box's response."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import NamedTuple
+
+from foldloom.claims.messages import Claim
+from foldloom.entry.jobs import InheritedKey, Job, JobState, JobTable, Response, problem_response
+from foldloom.entry.messages import (
+    Attach,
+    AttachReply,
+    AttachState,
+    HandedJob,
+    Handover,
+    HandoverReply,
+)
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.logs import ENTRY_LOG
+from foldloom.peers.membership import Membership
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import Settings
+from foldloom.verdicts import Problem, may_have_run, not_run
+
+_POLL_MS = 1_000
+_PEEK_MS = 1
+_ASK_TIMEOUT_MS = 1_500
+_RETRY_AFTER_MS = 1_000
+_FAILED_ASKS_MAX = 2
+_HANDOVER_CHUNK = 200
+_HANDOVER_TIMEOUT_MS = 3_000
+
+CONFLICT = not_run("other-content", "this submission was used for other content", status=409)
+COORDINATOR_LOST = may_have_run(
+    "coordinator-restarted", "the box that ran this job lost it; it will not run again"
+)
+COORDINATOR_SILENT = may_have_run(
+    "coordinator-unreachable", "the box that runs this job can't be reached", _RETRY_AFTER_MS, 503
+)
+DEADLINE = may_have_run("deadline", "the job did not end in time", _RETRY_AFTER_MS, 504)
+
+
+class FollowEnd(Enum):
+    """How following ended."""
+
+    RESPONSE = "response"
+    RELEASED = "released"
+    RUNNING = "running"
+
+
+class Followed(NamedTuple):
+    """The end of following; there is a response only if ``how`` says so."""
+
+    how: FollowEnd
+    response: Response | None
+
+
+class Follower:
+    """Follow jobs on other boxes and let others follow those here.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        membership: Who is live, and who holds a stopped box's answers.
+        jobs: This box's jobs.
+    """
+
+    def __init__(
+        self, settings: Settings, network: PeerNetwork, membership: Membership, jobs: JobTable
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._membership = membership
+        self._jobs = jobs
+        network.on(Attach, self._on_attach)
+        network.on(Handover, self._on_handover)
+
+    async def follow(
+        self,
+        submission: str,
+        digest: str,
+        claim: Claim,
+        deadline_ms: float,
+        is_waiting: bool = True,
+    ) -> Followed:
+        """Return the response of the job that *claim* stands for.
+
+        Unless *is_waiting*, a job that still runs is told as such.
+        """
+        wait_ms = _POLL_MS if is_waiting else _PEEK_MS
+        failed_asks = 0
+        while monotonic_ms() < deadline_ms:
+            target = self._target(claim)
+            if isinstance(target, Problem):
+                return self._ended(submission, target)
+            attach = Attach(
+                submission, digest, claim.coordinator, claim.incarnation, claim.attempt, wait_ms
+            )
+            try:
+                reply: AttachReply = await self._network.ask(target, attach, _ASK_TIMEOUT_MS)
+            except PeerUnreachableError:
+                failed_asks += 1
+                if failed_asks >= _FAILED_ASKS_MAX:
+                    return self._ended(submission, COORDINATOR_SILENT)
+                continue
+            if reply.state is AttachState.RUNNING:
+                if is_waiting:
+                    continue
+                return Followed(FollowEnd.RUNNING, None)
+            return self._judge(submission, reply)
+        return self._ended(submission, DEADLINE)
+
+    async def hand_over(self, heir: str) -> int:
+        """Give every kept answer to *heir*; return how many it took."""
+        kept = self._jobs.done_responses()
+        taken = 0
+        for start in range(0, len(kept), _HANDOVER_CHUNK):
+            jobs = [
+                HandedJob(submission, response.status, response.body, response.retry_after_ms)
+                for submission, response in kept[start : start + _HANDOVER_CHUNK]
+            ]
+            message = Handover(self._network.incarnation, jobs)
+            try:
+                reply: HandoverReply = await self._network.ask(heir, message, _HANDOVER_TIMEOUT_MS)
+            except PeerUnreachableError:
+                break
+            taken += reply.taken
+        return taken
+
+    def _target(self, claim: Claim) -> str | Problem:
+        """Return the box to ask, or why there is none."""
+        box = claim.coordinator
+        heir = self._membership.heir_of(box, claim.incarnation)
+        if self._network.known_incarnation(box) > claim.incarnation:
+            return heir or COORDINATOR_LOST
+        if not self._membership.is_live(box):
+            return heir or COORDINATOR_SILENT
+        return box
+
+    def _judge(self, submission: str, reply: AttachReply) -> Followed:
+        if reply.state is AttachState.WITHDRAWN:
+            return Followed(FollowEnd.RELEASED, None)
+        if reply.state is AttachState.CONFLICT:
+            return self._ended(submission, CONFLICT)
+        if reply.state is AttachState.UNKNOWN:
+            return self._ended(submission, COORDINATOR_LOST)
+        response = Response(reply.status, reply.body, reply.retry_after_ms)
+        return Followed(FollowEnd.RESPONSE, response)
+
+    def _ended(self, submission: str, problem: Problem) -> Followed:
+        response = problem_response(submission, self._settings.zone, problem)
+        return Followed(FollowEnd.RESPONSE, response)
+
+    async def _on_attach(self, sender: str, message: Attach) -> AttachReply:
+        is_own_life = (
+            message.coordinator == self._settings.box
+            and message.incarnation == self._network.incarnation
+        )
+        if not is_own_life:
+            return self._inherited_reply(message)
+        job = self._jobs.get(message.submission)
+        if job is None:
+            return AttachReply(AttachState.UNKNOWN)
+        if message.attempt < job.attempt:
+            return AttachReply(AttachState.WITHDRAWN)
+        ENTRY_LOG.info("Job {}: {} follows it here.", message.submission, sender)
+        await self._wait(job, message.wait_ms)
+        return _state_of(job, message.digest)
+
+    async def _wait(self, job: Job, wait_ms: int) -> None:
+        """Wait until *job* ends, or is known not to run here, for *wait_ms* at most."""
+        try:
+            async with asyncio.timeout(wait_ms / 1_000):
+                await job.wait_decided()
+                if job.state is JobState.RUNNING:
+                    await job.wait_finished()
+        except TimeoutError:
+            return
+
+    def _inherited_reply(self, message: Attach) -> AttachReply:
+        key = InheritedKey(message.submission, message.coordinator, message.incarnation)
+        response = self._jobs.inherited(key)
+        if response is None:
+            return AttachReply(AttachState.UNKNOWN)
+        return AttachReply(AttachState.DONE, *response)
+
+    def _on_handover(self, sender: str, message: Handover) -> HandoverReply:
+        for job in message.jobs:
+            key = InheritedKey(job.submission, sender, message.incarnation)
+            self._jobs.inherit(key, Response(job.status, job.body, job.retry_after_ms))
+        return HandoverReply(len(message.jobs))
+
+
+def _state_of(job: Job, digest: str) -> AttachReply:
+    if job.state is JobState.WITHDRAWN and job.response is not None and job.digest == digest:
+        return AttachReply(AttachState.REFUSED, *job.response)
+    if job.state in (JobState.WITHDRAWN, JobState.FOLLOWING):
+        return AttachReply(AttachState.WITHDRAWN)
+    if job.digest != digest:
+        return AttachReply(AttachState.CONFLICT)
+    if job.response is None:
+        return AttachReply(AttachState.RUNNING)
+    return AttachReply(AttachState.DONE, *job.response)
--- /dev/null
+++ b/src/foldloom/entry/http.py
@@ -0,0 +1,229 @@
+# SPDX-License-Identifier: MIT
+"""The HTTP side of a box: callers' jobs, health, and the operators' routes."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from foldloom.entry.coordinator import Coordinator
+from foldloom.entry.jobs import Response, problem_response
+from foldloom.entry.requests import parse_job
+from foldloom.ids import is_valid_submission
+from foldloom.metrics import Metrics
+from foldloom.settings import Settings
+from foldloom.verdicts import Problem, not_run
+
+JSON_TYPE = "application/json"
+PROBLEM_TYPE = "application/problem+json"
+_SHUTDOWN_TIMEOUT_S = 1.0
+_LINE_MAX_BYTES = 8_190
+
+
+def to_http(response: Response) -> web.Response:
+    """Return *response* as aiohttp sends it."""
+    headers = {}
+    if response.retry_after_ms:
+        headers["Retry-After"] = str(math.ceil(response.retry_after_ms / 1_000))
+    content_type = JSON_TYPE if response.status == 200 else PROBLEM_TYPE
+    return web.Response(
+        status=response.status, body=response.body, content_type=content_type, headers=headers
+    )
+
+
+async def read_body(request: web.Request, timeout_ms: int) -> bytes | Problem:
+    """Return the whole body, or the problem to answer with."""
+    try:
+        async with asyncio.timeout(timeout_ms / 1_000):
+            return await request.read()
+    except TimeoutError:
+        return not_run("body-timeout", "the body did not arrive in time", status=408)
+    except web.HTTPRequestEntityTooLarge as error:
+        return not_run("too-large", f"body: {error.text}", status=413)
+
+
+class _BoundedHandler(RequestHandler):
+    """One connection, closed if no request head arrives in time."""
+
+    def __init__(self, server: HttpServer, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._bounds = server
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._is_counted = False
+        self.has_request = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection unless there are too many."""
+        super().connection_made(transport)
+        if not self._bounds.take_connection():
+            transport.close()
+            return
+        self._is_counted = True
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(self._bounds.header_timeout_s, self._check_head)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Free what the connection held."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        if self._is_counted:
+            self._bounds.free_connection()
+        super().connection_lost(exc)
+
+    def _check_head(self) -> None:
+        if not self.has_request and self.transport is not None:
+            self._bounds.count("http.header-timeouts")
+            self.transport.close()
+
+
+class HttpServer:
+    """Serve HTTP on this box.
+
+    Args:
+        settings: This box's settings.
+        coordinator: Takes jobs; ``None`` on a box without the entry role.
+        is_ready: Returns whether the balancer should send work.
+        metrics: Counters.
+        add_routes: Adds the operators' routes.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        coordinator: Coordinator | None,
+        is_ready: Callable[[], bool],
+        metrics: Metrics,
+        add_routes: Callable[[web.Application], None],
+    ) -> None:
+        self._settings = settings
+        self._coordinator = coordinator
+        self._is_ready = is_ready
+        self._metrics = metrics
+        self._connections = 0
+        self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
+        self._app = web.Application(
+            client_max_size=settings.http.body_max_bytes, middlewares=[_note_request]
+        )
+        self._app.router.add_get("/healthz", self._healthz)
+        self._app.router.add_get("/readyz", self._readyz)
+        self._app.router.add_put("/v1/jobs/{submission}", self._put_job)
+        self._app.router.add_get("/v1/jobs/{submission}", self._get_job)
+        add_routes(self._app)
+
+    @property
+    def header_timeout_s(self) -> float:
+        """How long a connection may take to send its first request head."""
+        return self._settings.http.header_timeout_ms / 1_000
+
+    def take_connection(self) -> bool:
+        """Count one more connection; return whether there is room for it."""
+        if self._connections >= self._settings.http.connections_max:
+            self._metrics.count("http.connections-refused")
+            return False
+        self._connections += 1
+        return True
+
+    def free_connection(self) -> None:
+        """Count one connection less."""
+        self._connections -= 1
+
+    def count(self, name: str) -> None:
+        """Add one to the counter *name*."""
+        self._metrics.count(name)
+
+    async def start(self) -> None:
+        """Listen."""
+        self._runner = web.AppRunner(
+            self._app, access_log=None, handle_signals=False, keepalive_timeout=30.0
+        )
+        await self._runner.setup()
+        server = self._runner.server
+        assert server is not None
+        loop = asyncio.get_running_loop()
+
+        def connect() -> _BoundedHandler:
+            return _BoundedHandler(
+                self,
+                server,
+                loop=loop,
+                access_log=None,
+                keepalive_timeout=30.0,
+                max_line_size=_LINE_MAX_BYTES,
+            )
+
+        http = self._settings.http
+        self._server = await loop.create_server(
+            connect, http.host, http.port, ssl=self._tls(), reuse_address=True
+        )
+
+    async def stop(self) -> None:
+        """Close the listening socket and the connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._runner is not None:
+            server = self._runner.server
+            if server is not None:
+                await server.shutdown(_SHUTDOWN_TIMEOUT_S)
+            await self._runner.cleanup()
+
+    def _tls(self) -> ssl.SSLContext | None:
+        http = self._settings.http
+        if not http.tls_certificate_file:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(http.tls_certificate_file, http.tls_key_file)
+        return context
+
+    async def _healthz(self, _request: web.Request) -> web.Response:
+        return web.Response(text="alive\n")
+
+    async def _readyz(self, _request: web.Request) -> web.Response:
+        if self._is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def _put_job(self, request: web.Request) -> web.Response:
+        submission = request.match_info["submission"]
+        if self._coordinator is None:
+            return self._problem(submission, not_run("no-entry", "this box takes no jobs"))
+        if not is_valid_submission(submission):
+            detail = "submission: not a well-formed id"
+            return self._problem("", not_run("bad-request", detail, status=400))
+        body = await read_body(request, self._settings.http.body_timeout_ms)
+        if isinstance(body, Problem):
+            return self._problem(submission, body)
+        parsed = parse_job(body, self._settings)
+        if parsed.is_error():
+            return self._problem(submission, parsed.error)
+        return to_http(await self._coordinator.submit(submission, parsed.ok))
+
+    async def _get_job(self, request: web.Request) -> web.Response:
+        submission = request.match_info["submission"]
+        if self._coordinator is None or not is_valid_submission(submission):
+            detail = "submission: not a well-formed id"
+            return self._problem("", not_run("bad-request", detail, status=400))
+        response = await self._coordinator.peek(submission)
+        if response is None:
+            fields = {"submission": submission, "verdict": "running"}
+            return web.json_response(fields, status=202)
+        return to_http(response)
+
+    def _problem(self, submission: str, problem: Problem) -> web.Response:
+        return to_http(problem_response(submission, self._settings.zone, problem))
+
+
+@web.middleware
+async def _note_request(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    """Note that the connection sent a whole head."""
+    if isinstance(request.protocol, _BoundedHandler):
+        request.protocol.has_request = True
+    return await handler(request)
--- /dev/null
+++ b/src/foldloom/entry/jobs.py
@@ -0,0 +1,233 @@
+# SPDX-License-Identifier: MIT
+"""The jobs that this box knows: running here, or finished and kept for resubmissions."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import msgspec
+
+from foldloom.metrics import Metrics
+from foldloom.peers.wire import monotonic_ms
+from foldloom.verdicts import Problem, Verdict, may_have_run
+
+_ENCODER = msgspec.json.Encoder()
+_EXPIRED = may_have_run("answer-expired", "the answer is kept no longer", status=410)
+
+
+class JobState(StrEnum):
+    """Where a job stands on this box."""
+
+    CLAIMING = "claiming"
+    FOLLOWING = "following"
+    RUNNING = "running"
+    DONE = "done"
+    WITHDRAWN = "withdrawn"
+
+
+class Response(NamedTuple):
+    """A caller's answer, ready to send.
+
+    Args:
+        status: The HTTP status.
+        body: JSON.
+        retry_after_ms: For the ``Retry-After`` header; 0 for none.
+    """
+
+    status: int
+    body: bytes
+    retry_after_ms: int = 0
+
+
+def complete_response(submission: str, zone: str, answers: list[Any]) -> Response:
+    """Return the response of a job of which every task was answered."""
+    fields = {
+        "submission": submission,
+        "verdict": Verdict.COMPLETE,
+        "zone": zone,
+        "answers": answers,
+    }
+    return Response(200, _ENCODER.encode(fields))
+
+
+def problem_response(submission: str, zone: str, problem: Problem) -> Response:
+    """Return the ``application/problem+json`` response of *problem*."""
+    fields: dict[str, Any] = {
+        "type": f"urn:foldloom:problem:{problem.reason}",
+        "title": problem.reason.replace("-", " "),
+        "status": problem.status,
+        "detail": problem.detail,
+        "submission": submission,
+        "zone": zone,
+        "verdict": problem.verdict,
+        "run": problem.run,
+        "reason": problem.reason,
+    }
+    if problem.retry_after_ms:
+        fields["retry_after_ms"] = problem.retry_after_ms
+    return Response(problem.status, _ENCODER.encode(fields), problem.retry_after_ms)
+
+
+class Job:
+    """One submission on this box.
+
+    Args:
+        submission: Its id.
+        digest: The content's digest.
+        attempt: The claim's attempt number.
+    """
+
+    def __init__(self, submission: str, digest: str, attempt: int) -> None:
+        self.submission = submission
+        self.digest = digest
+        self.attempt = attempt
+        self.state = JobState.CLAIMING
+        self.response: Response | None = None
+        self.expires_ms = 0.0
+        self._decided = asyncio.Event()
+        self._finished = asyncio.Event()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether there is no response yet."""
+        return self.response is None
+
+    def decide(self, state: JobState) -> None:
+        """Enter *state* and wake whoever waits to know whether this job runs here."""
+        self.state = state
+        self._decided.set()
+
+    def claim_again(self) -> None:
+        """Begin another attempt at the claim."""
+        self.attempt += 1
+        self.state = JobState.CLAIMING
+        self._decided.clear()
+
+    def finish(self, state: JobState, response: Response) -> None:
+        """Set the final *response*."""
+        self.response = response
+        self.decide(state)
+        self._finished.set()
+
+    async def wait_decided(self) -> None:
+        """Wait until it is known whether this job runs here."""
+        await self._decided.wait()
+
+    async def wait_finished(self) -> None:
+        """Wait for the response."""
+        await self._finished.wait()
+
+
+class InheritedKey(NamedTuple):
+    """A finished job of another box's life, handed over at its planned stop."""
+
+    submission: str
+    coordinator: str
+    incarnation: int
+
+
+class JobTable:
+    """All jobs of this box, bounded in time, count and bytes.
+
+    Args:
+        retention_ms: How long a finished job is kept.
+        jobs_max: How many are kept.
+        bytes_max: How many bytes of responses are kept.
+        metrics: Gauges.
+    """
+
+    def __init__(self, retention_ms: int, jobs_max: int, bytes_max: int, metrics: Metrics) -> None:
+        self._retention_ms = retention_ms
+        self._jobs_max = jobs_max
+        self._bytes_max = bytes_max
+        self._metrics = metrics
+        self._jobs: dict[str, Job] = {}
+        self._kept: dict[str, int] = {}
+        self._kept_bytes = 0
+        self._running = 0
+        self._inherited: dict[InheritedKey, tuple[Response, float]] = {}
+
+    @property
+    def running_count(self) -> int:
+        """How many jobs run on this box now."""
+        return self._running
+
+    @property
+    def open_count(self) -> int:
+        """How many jobs have no response yet."""
+        return sum(1 for job in self._jobs.values() if job.is_open)
+
+    def get(self, submission: str) -> Job | None:
+        """Return the job of *submission*, or ``None``."""
+        return self._jobs.get(submission)
+
+    def start(self, submission: str, digest: str) -> Job:
+        """Begin *submission* on this box, with an attempt number not used before."""
+        before = self._jobs.get(submission)
+        attempt = 1 if before is None else before.attempt + 1
+        self._forget_bytes(submission)
+        job = Job(submission, digest, attempt)
+        self._jobs[submission] = job
+        return job
+
+    def run(self, job: Job) -> None:
+        """Note that *job* holds its claim and runs."""
+        self._running += 1
+        job.decide(JobState.RUNNING)
+
+    def finish(self, job: Job, state: JobState, response: Response) -> None:
+        """End *job* with *response* and keep it."""
+        if job.state is JobState.RUNNING:
+            self._running -= 1
+        job.expires_ms = monotonic_ms() + self._retention_ms
+        job.finish(state, response)
+        self._kept[job.submission] = len(response.body)
+        self._kept_bytes += len(response.body)
+        self._bound()
+        self._metrics.gauge("jobs.kept_bytes", self._kept_bytes)
+
+    def done_responses(self) -> list[tuple[str, Response]]:
+        """Return every kept response of a job that ran here."""
+        return [
+            (job.submission, job.response)
+            for job in self._jobs.values()
+            if job.state is JobState.DONE and job.response is not None
+        ]
+
+    def inherit(self, key: InheritedKey, response: Response) -> None:
+        """Keep another box's answer."""
+        self._inherited[key] = (response, monotonic_ms() + self._retention_ms)
+
+    def inherited(self, key: InheritedKey) -> Response | None:
+        """Return another box's answer, or ``None``."""
+        kept = self._inherited.get(key)
+        return None if kept is None else kept[0]
+
+    def expire(self) -> None:
+        """Drop the jobs whose time has passed."""
+        now_ms = monotonic_ms()
+        for submission in list(self._kept):
+            if self._jobs[submission].expires_ms > now_ms:
+                break
+            self._forget_bytes(submission)
+            del self._jobs[submission]
+        for key in [key for key, (_, expires) in self._inherited.items() if expires <= now_ms]:
+            del self._inherited[key]
+
+    def _forget_bytes(self, submission: str) -> None:
+        self._kept_bytes -= self._kept.pop(submission, 0)
+
+    def _bound(self) -> None:
+        """Over a bound, drop the oldest answers; that a job ran is never forgotten early."""
+        for submission in list(self._kept):
+            if len(self._kept) <= self._jobs_max and self._kept_bytes <= self._bytes_max:
+                return
+            job = self._jobs[submission]
+            if job.state is JobState.DONE:
+                job.response = problem_response(submission, "", _EXPIRED)
+            self._kept_bytes -= self._kept[submission]
+            self._kept[submission] = 0
+            if self._kept_bytes <= self._bytes_max:
+                return
--- /dev/null
+++ b/src/foldloom/entry/operators.py
@@ -0,0 +1,202 @@
+# SPDX-License-Identifier: MIT
+"""The operators' routes: intents to a plan, a plan confirmed, configuration and status."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from aiohttp import web
+from expression import Result
+
+from foldloom.controllers.client import ControllerClient
+from foldloom.controllers.config import Config
+from foldloom.controllers.holder import ConfigHolder
+from foldloom.controllers.plans import Plan, make_plan, parse_intents
+from foldloom.controllers.state import Answer, ConfirmCommand
+from foldloom.entry.http import PROBLEM_TYPE, read_body
+from foldloom.entry.jobs import problem_response
+from foldloom.logs import CONFIG_LOG
+from foldloom.settings import Settings
+from foldloom.verdicts import Problem, not_run
+
+_BARRIER_TIMEOUT_MS = 1_500
+_CONFIRM_TIMEOUT_MS = 6_000
+_CATCH_UP_S = 1.0
+_CATCH_UP_STEP_S = 0.02
+
+
+class _ConfirmBody(msgspec.Struct):
+    command: str
+    base_version: int
+    intents: list[Any]
+
+
+_CONFIRMS = msgspec.json.Decoder(_ConfirmBody)
+_ENCODER = msgspec.json.Encoder()
+
+
+def read_tokens(path: str) -> list[str]:
+    """Return the operators' tokens in the file at *path*, one a line."""
+    if not path:
+        return []
+    lines = Path(path).read_text(encoding="utf-8").splitlines()
+    return [line.strip() for line in lines if line.strip()]
+
+
+class OperatorRoutes:
+    """Serve operators.
+
+    Args:
+        settings: This box's settings.
+        client: The way to the controllers' leader.
+        holder: The configuration in force here.
+        status: Returns this box's view of the whole system.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        client: ControllerClient,
+        holder: ConfigHolder,
+        status: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._holder = holder
+        self._status = status
+        self._tokens = [token.encode() for token in read_tokens(settings.operator_tokens_file)]
+
+    def add_to(self, app: web.Application) -> None:
+        """Add the routes to *app*."""
+        app.router.add_post("/v1/intents", self._post_intents)
+        app.router.add_post("/v1/plans/{digest}/confirm", self._post_confirm)
+        app.router.add_get("/v1/config", self._get_config)
+        app.router.add_get("/v1/status", self._get_status)
+
+    async def _post_intents(self, request: web.Request) -> web.Response:
+        raw = await self._authorized_json(request)
+        if isinstance(raw, Problem):
+            return self._problem(raw)
+        listed = raw.get("intents") if isinstance(raw, dict) else raw
+        intents = parse_intents(listed)
+        if intents.is_error():
+            return self._problem(not_run("bad-request", intents.error, status=400))
+        is_current = await self._catch_up()
+        planned = make_plan(self._holder.config, intents.ok)
+        if planned.is_error():
+            return self._problem(not_run("bad-intent", planned.error, status=409))
+        fields = plan_fields(planned.ok)
+        fields["is_current"] = is_current
+        return _json(200, fields)
+
+    async def _post_confirm(self, request: web.Request) -> web.Response:
+        raw = await self._authorized_json(request)
+        if isinstance(raw, Problem):
+            return self._problem(raw)
+        try:
+            body = msgspec.convert(raw, _ConfirmBody)
+        except msgspec.ValidationError as error:
+            return self._problem(not_run("bad-request", str(error), status=400))
+        if not body.command:
+            return self._problem(not_run("bad-request", "command: is required", status=400))
+        digest = request.match_info["digest"]
+        command = ConfirmCommand(body.command, digest, body.intents)
+        result = await self._client.propose(command, _CONFIRM_TIMEOUT_MS)
+        return self._confirmed(body.command, result)
+
+    def _confirmed(self, command: str, result: Result[Answer, Problem]) -> web.Response:
+        if result.is_error():
+            CONFIG_LOG.warning("Command {}: {}.", command, result.error.reason)
+            return self._problem(result.error)
+        answer = result.ok
+        if answer.status == 200:
+            CONFIG_LOG.info("Command {} made version {}.", command, answer.version)
+            return _json(200, {"version": answer.version})
+        reason = "conflict" if answer.status == 409 else "bad-request"
+        problem = not_run(reason, answer.detail, status=answer.status)
+        if answer.plan is None:
+            return self._problem(problem)
+        fields = msgspec.json.decode(problem_response("", self._settings.zone, problem).body)
+        fields["fresh_plan"] = plan_fields(answer.plan)
+        return _json(answer.status, fields, PROBLEM_TYPE)
+
+    async def _get_config(self, request: web.Request) -> web.Response:
+        if not self._is_authorized(request):
+            return self._unauthorized()
+        return _json(200, config_fields(self._holder.config))
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        if not self._is_authorized(request):
+            return self._unauthorized()
+        return _json(200, self._status())
+
+    async def _catch_up(self) -> bool:
+        """Wait until the newest confirmed version is in force here; return whether it is."""
+        version = await self._client.newest_version(_BARRIER_TIMEOUT_MS)
+        if version is None:
+            return False
+        try:
+            async with asyncio.timeout(_CATCH_UP_S):
+                while self._holder.config.version < version:
+                    await asyncio.sleep(_CATCH_UP_STEP_S)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _authorized_json(self, request: web.Request) -> Any:
+        """Return the decoded body, or the problem to answer with."""
+        if not self._is_authorized(request):
+            return _unauthorized_problem()
+        body = await read_body(request, self._settings.http.body_timeout_ms)
+        if isinstance(body, Problem):
+            return body
+        try:
+            return msgspec.json.decode(body)
+        except msgspec.DecodeError as error:
+            return not_run("bad-request", str(error), status=400)
+
+    def _is_authorized(self, request: web.Request) -> bool:
+        scheme, _, given = request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            return False
+        # Every token is compared, each in constant time, so that timing tells nothing.
+        matches = [hmac.compare_digest(given.strip().encode(), token) for token in self._tokens]
+        return any(matches)
+
+    def _unauthorized(self) -> web.Response:
+        return self._problem(_unauthorized_problem())
+
+    def _problem(self, problem: Problem) -> web.Response:
+        response = problem_response("", self._settings.zone, problem)
+        headers = {"WWW-Authenticate": "Bearer"} if problem.status == 401 else {}
+        return web.Response(
+            status=problem.status, body=response.body, content_type=PROBLEM_TYPE, headers=headers
+        )
+
+
+def plan_fields(plan: Plan) -> dict[str, Any]:
+    """Return *plan* as operators get it."""
+    return {
+        "plan": plan.words,
+        "base_version": plan.base_version,
+        "changes": plan.changes,
+        "digest": plan.digest,
+    }
+
+
+def config_fields(config: Config) -> dict[str, Any]:
+    """Return *config* as operators get it."""
+    return config._asdict()
+
+
+def _unauthorized_problem() -> Problem:
+    return not_run("unauthorized", "a bearer token of an operator is required", status=401)
+
+
+def _json(status: int, fields: Any, content_type: str = "application/json") -> web.Response:
+    return web.Response(status=status, body=_ENCODER.encode(fields), content_type=content_type)
--- /dev/null
+++ b/src/foldloom/entry/run.py
@@ -0,0 +1,265 @@
+# SPDX-License-Identifier: MIT
+"""Run one claimed job: a slot for each task, each task started at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+from expression import Error, Ok, Result
+
+from foldloom.controllers.config import ACTIVE, Config, Service
+from foldloom.entry.requests import JobRequest
+from foldloom.logs import PLACE_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.wire import monotonic_ms
+from foldloom.placement.messages import SlotRefusal, SlotUse
+from foldloom.placement.retries import RetryBudget, may_retry
+from foldloom.placement.slots import Slot, SlotSource, Want
+from foldloom.verdicts import Problem, Run, may_have_run, not_run
+from foldloom.workers.adapter import TaskAnswer, TaskCall, WorkerAdapter
+
+_RETRY_AFTER_MS = 500
+_RETRY_PAUSE_S = 0.01
+_SLOT_EXPIRED = "slot-expired"
+_STOPS: set[asyncio.Task[None]] = set()
+
+
+class RunContext(NamedTuple):
+    """What every job of a box shares.
+
+    Args:
+        attempt_prefix: Makes attempt ids unique: box and incarnation.
+        attempt_numbers: Counts attempts.
+        adapter: The way to workers.
+        slots: Where slots come from.
+        budget: The box's retry budget.
+        metrics: Counters.
+        config: Returns the configuration in force.
+        leaving: Returns the workers that the platform calls leaving.
+    """
+
+    attempt_prefix: str
+    attempt_numbers: itertools.count[int]
+    adapter: WorkerAdapter
+    slots: SlotSource
+    budget: RetryBudget
+    metrics: Metrics
+    config: Callable[[], Config]
+    leaving: Callable[[], frozenset[str]]
+
+
+class AttemptEnd(NamedTuple):
+    """The end of one attempt at one task."""
+
+    task_index: int
+    result: Result[TaskAnswer, Problem]
+
+
+class JobRun:
+    """One job that holds its claim.
+
+    Args:
+        context: What the box's jobs share.
+        submission: The job's id.
+        request: The job.
+        deadline_ms: When its answer is of no more use; own monotonic clock.
+    """
+
+    def __init__(
+        self, context: RunContext, submission: str, request: JobRequest, deadline_ms: float
+    ) -> None:
+        self._context = context
+        self._submission = submission
+        self._request = request
+        self._deadline_ms = deadline_ms
+        self._service: Service | None = None
+        self._waiting = deque(range(len(request.payloads)))
+        self._answers: list[msgspec.Raw | None] = [None] * len(request.payloads)
+        self._left = len(request.payloads)
+        self._ends: asyncio.Queue[AttemptEnd] = asyncio.Queue()
+        self._attempts: dict[asyncio.Task[Result[TaskAnswer, Problem]], tuple[int, str]] = {}
+        self._maybe_ran = 0
+        self._longest_ms = 0.0
+
+    @property
+    def longest_ms(self) -> float:
+        """The longest service time of a task so far, milliseconds."""
+        return self._longest_ms
+
+    async def execute(self) -> Result[list[msgspec.Raw], Problem]:
+        """Run every task and return all answers, or the one problem that ended the job."""
+        self._service = self._context.config().services.get(self._request.service)
+        if self._service is None:
+            detail = f"service: {self._request.service} is unknown"
+            return Error(not_run("unknown-service", detail, status=404))
+        want = self._context.slots.want(
+            self._request.service, self._request.member, self._deadline_ms, self._left
+        )
+        try:
+            self._context.slots.ask(want, self._left)
+            problem = await self._serve(want)
+        finally:
+            self._context.slots.close(want)
+        if problem is None:
+            return Ok([answer for answer in self._answers if answer is not None])
+        self._stop_attempts()
+        return Error(self._truthful(problem))
+
+    async def _serve(self, want: Want) -> Problem | None:
+        """Match slots and tasks until all are answered or the job has failed."""
+        arrival = asyncio.ensure_future(want.arrivals.get())
+        ended = asyncio.ensure_future(self._ends.get())
+        try:
+            while self._left:
+                left_s = (self._deadline_ms - monotonic_ms()) / 1_000
+                done, _ = await asyncio.wait(
+                    (arrival, ended), timeout=max(0.0, left_s), return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    return may_have_run("deadline", "the job did not end in time", status=504)
+                problem = None
+                if ended in done:
+                    problem = await self._take_end(ended.result(), want)
+                    ended = asyncio.ensure_future(self._ends.get())
+                if problem is None and arrival in done:
+                    problem = self._take_arrival(arrival.result(), want)
+                    arrival = asyncio.ensure_future(want.arrivals.get())
+                if problem is not None:
+                    return problem
+            return None
+        finally:
+            if arrival.done() and not arrival.cancelled():
+                self._return_unused(arrival.result())
+            arrival.cancel()
+            ended.cancel()
+
+    def _return_unused(self, arrived: Slot | SlotRefusal) -> None:
+        if isinstance(arrived, Slot):
+            self._context.slots.give_back(arrived, 0.0, SlotUse.UNUSED)
+
+    def _take_arrival(self, arrived: Slot | SlotRefusal, want: Want) -> Problem | None:
+        if isinstance(arrived, SlotRefusal):
+            detail = f"no slot for {len(self._waiting)} tasks in time"
+            self._context.metrics.count(f"refusals.{arrived.reason}")
+            return not_run(arrived.reason, detail, arrived.retry_after_ms)
+        if not self._waiting:
+            self._return_unused(arrived)
+            return None
+        endpoint = self._endpoint_of(arrived)
+        if not endpoint:
+            self._return_unused(arrived)
+            self._context.slots.ask(want, 1)
+            return None
+        index = self._waiting.popleft()
+        task = asyncio.create_task(self._attempt(index, arrived, endpoint))
+        self._attempts[task] = (index, endpoint)
+        task.add_done_callback(lambda ended: self._end_attempt(ended, index, arrived))
+        return None
+
+    def _endpoint_of(self, slot: Slot) -> str:
+        """Return where to start a task on *slot* now, or '' if it must not be used."""
+        worker = self._context.config().workers.get(slot.worker)
+        if worker is None or worker["state"] != ACTIVE:
+            return ""
+        if slot.worker in self._context.leaving() or monotonic_ms() >= slot.expires_ms:
+            return ""
+        return worker["endpoint"]
+
+    async def _attempt(self, index: int, slot: Slot, endpoint: str) -> Result[TaskAnswer, Problem]:
+        """Make one attempt at task *index*."""
+        context = self._context
+        now_ms = monotonic_ms()
+        left_ms = self._deadline_ms - now_ms
+        # Looked at again right here: a process that was frozen must start nothing late.
+        if left_ms <= 0 or now_ms >= slot.expires_ms:
+            return Error(not_run(_SLOT_EXPIRED))
+        attempt = f"{context.attempt_prefix}-{next(context.attempt_numbers)}"
+        call = TaskCall(
+            attempt,
+            slot.lease_id,
+            self._request.service,
+            self._request.member,
+            int(left_ms),
+            self._request.payloads[index],
+        )
+        PLACE_LOG.info(
+            "Task {}/{} goes to {} as {} on lease {}.",
+            self._submission,
+            index,
+            slot.worker,
+            attempt,
+            slot.lease_id,
+        )
+        self._maybe_ran += 1
+        context.budget.note_start()
+        context.metrics.count("tasks.started")
+        return await context.adapter.start_task(endpoint, self._submission, index, call, left_ms)
+
+    def _end_attempt(
+        self, task: asyncio.Task[Result[TaskAnswer, Problem]], index: int, slot: Slot
+    ) -> None:
+        """Give the slot back and pass on the end, also of an attempt that was cancelled."""
+        self._attempts.pop(task, None)
+        if task.cancelled():
+            self._context.slots.give_back(slot, 0.0, SlotUse.UNUSED)
+            return
+        result = task.result()
+        use, service_ms = _use_of(result)
+        self._context.slots.give_back(slot, service_ms, use)
+        self._ends.put_nowait(AttemptEnd(index, result))
+
+    async def _take_end(self, end: AttemptEnd, want: Want) -> Problem | None:
+        if end.result.is_ok():
+            answer = end.result.ok
+            self._answers[end.task_index] = answer.answer
+            self._left -= 1
+            self._longest_ms = max(self._longest_ms, answer.service_ms)
+            return None
+        problem = end.result.error
+        if problem.run is Run.NOT_RUN and problem.reason != _SLOT_EXPIRED:
+            self._maybe_ran -= 1
+        assert self._service is not None
+        self._context.metrics.count(f"attempts.{problem.reason}")
+        if not may_retry(problem, self._service, self._request.repeatable):
+            return problem
+        if not self._context.budget.spend():
+            return problem._replace(detail=f"{problem.detail}; the retry budget is used up")
+        PLACE_LOG.info("Task {}/{} again: {}.", self._submission, end.task_index, problem.reason)
+        self._context.metrics.count("tasks.retried")
+        await asyncio.sleep(_RETRY_PAUSE_S)
+        self._waiting.appendleft(end.task_index)
+        self._context.slots.ask(want, 1)
+        return None
+
+    def _stop_attempts(self) -> None:
+        """Ask the workers to stop what still runs of a failed job, and wait for none of it."""
+        stops = [
+            self._context.adapter.stop_task(endpoint, self._submission, index)
+            for index, endpoint in self._attempts.values()
+        ]
+        for attempt in list(self._attempts):
+            attempt.cancel()
+        for stop in stops:
+            task = asyncio.create_task(stop)
+            _STOPS.add(task)
+            task.add_done_callback(_STOPS.discard)
+
+    def _truthful(self, problem: Problem) -> Problem:
+        """Return *problem* with ``run`` true for the whole job."""
+        return problem._replace(run=Run.MAY_HAVE_RUN if self._maybe_ran else Run.NOT_RUN)
+
+
+def _use_of(result: Result[TaskAnswer, Problem]) -> tuple[SlotUse, float]:
+    """Return what an attempt's end says about its slot, and the service time."""
+    if result.is_ok():
+        return SlotUse.DONE, result.ok.service_ms
+    if result.error.reason == _SLOT_EXPIRED:
+        return SlotUse.UNUSED, 0.0
+    if result.error.run is Run.NOT_RUN:
+        return SlotUse.NOT_RUN, 0.0
+    return SlotUse.FAILED, 0.0
--- /dev/null
+++ b/src/foldloom/peers/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Messages between boxes and who is live."""
--- /dev/null
+++ b/src/foldloom/peers/membership.py
@@ -0,0 +1,133 @@
+# SPDX-License-Identifier: MIT
+"""Which boxes are live: heartbeats between all boxes, and what they carry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from foldloom.peers.messages import register
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import Settings
+
+
+class ZoneLoad(NamedTuple):
+    """How loaded one lease shard is.
+
+    Args:
+        shard: The shard's name.
+        free_slots: Slots that could be handed out now.
+        queued: Tasks that wait.
+        wait_ms: The expected wait of a new task.
+    """
+
+    shard: str
+    free_slots: int
+    queued: int
+    wait_ms: float
+
+
+class Heartbeat(NamedTuple):
+    """A box says that it lives.
+
+    Args:
+        config_version: The configuration version in force there.
+        is_stopping: Whether a planned stop began.
+        can_vote: Whether its claim replica has recovered.
+        loads: The shards whose lease manager it is.
+        heir: At a planned stop, the box that holds its answers.
+        is_confirmed_current: Whether it passed a read barrier since it started.
+        list_epoch: The newest epoch of the box list that it acknowledges.
+    """
+
+    config_version: int
+    is_stopping: bool
+    can_vote: bool
+    loads: list[ZoneLoad]
+    heir: str = ""
+    is_confirmed_current: bool = False
+    list_epoch: int = 0
+
+
+register(1, Heartbeat)
+
+
+class PeerState(NamedTuple):
+    """What the last heartbeat of a peer said.
+
+    Args:
+        seen_ms: Own monotonic clock at its arrival.
+        incarnation: The sender's incarnation then.
+        heartbeat: The message.
+    """
+
+    seen_ms: float
+    incarnation: int
+    heartbeat: Heartbeat
+
+
+class Membership:
+    """Send heartbeats and remember those of the peers.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        describe: Returns this box's next heartbeat.
+    """
+
+    def __init__(
+        self, settings: Settings, network: PeerNetwork, describe: Callable[[], Heartbeat]
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._describe = describe
+        self._states: dict[str, PeerState] = {}
+        self._heirs: dict[tuple[str, int], str] = {}
+        network.on(Heartbeat, self._hear)
+
+    @property
+    def states(self) -> dict[str, PeerState]:
+        """The last state of every peer heard from, by box."""
+        return dict(self._states)
+
+    def is_live(self, box: str) -> bool:
+        """Return whether *box* was heard from lately."""
+        if box == self._settings.box:
+            return True
+        state = self._states.get(box)
+        if state is None:
+            return False
+        return monotonic_ms() - state.seen_ms < self._settings.timings.peer_silent_ms
+
+    def is_serving(self, box: str) -> bool:
+        """Return whether *box* is live and not in a planned stop."""
+        if not self.is_live(box):
+            return False
+        if box == self._settings.box:
+            return not self._describe().is_stopping
+        return not self._states[box].heartbeat.is_stopping
+
+    def heir_of(self, box: str, incarnation: int) -> str:
+        """Return who holds the answers of a stopped incarnation of *box*, or ''."""
+        return self._heirs.get((box, incarnation), "")
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        interval = self._settings.timings.heartbeat_ms / 1_000
+        while True:
+            self.beat()
+            await asyncio.sleep(interval)
+
+    def beat(self) -> None:
+        """Send one heartbeat to every peer now."""
+        heartbeat = self._describe()
+        ttl = self._settings.timings.peer_silent_ms
+        for box in self._network.peer_names:
+            self._network.tell(box, heartbeat, ttl)
+
+    def _hear(self, sender: str, heartbeat: Heartbeat) -> None:
+        incarnation = self._network.known_incarnation(sender)
+        self._states[sender] = PeerState(monotonic_ms(), incarnation, heartbeat)
+        if heartbeat.heir:
+            self._heirs[sender, incarnation] = heartbeat.heir
--- /dev/null
+++ b/src/foldloom/peers/wire.py
@@ -0,0 +1,363 @@
+# SPDX-License-Identifier: MIT
+"""Messages between boxes over ZeroMQ: one outbound task a peer, one inbound socket.
+
+Each box binds one ROUTER and connects one DEALER to every peer. Requests and replies both
+leave by the sender's own DEALER, so that one socket pair serves each direction. ZeroMQ
+queues silently and delivers after a cut heals; small high-water marks, ``IMMEDIATE`` and a
+time to live on every message keep old messages from having an effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.logs import PEER_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.messages import (
+    Envelope,
+    Frame,
+    decode_body,
+    decode_envelope,
+    encode_body,
+    encode_envelope,
+    kind_of,
+)
+from foldloom.settings import PeerSettings, Settings
+
+_HIGH_WATER_MARK = 1_000
+_OUTBOX_MAX = 20_000
+_FRAMES_PER_ENVELOPE_MAX = 500
+_ENVELOPE_MAX_BYTES = 64 * 1024 * 1024
+_HEARTBEAT_IVL_MS = 500
+_HEARTBEAT_TIMEOUT_MS = 1_500
+_RECONNECT_MS = 50
+_RECONNECT_MAX_MS = 500
+DEFAULT_TTL_MS = 1_000
+
+Handler = Callable[[str, Any], Any]
+
+
+class Sender(NamedTuple):
+    """What is known of a peer's clock and life.
+
+    Args:
+        incarnation: The newest incarnation seen.
+        offset_ms: The least seen difference of own clock and the peer's sending time.
+    """
+
+    incarnation: int
+    offset_ms: float
+
+
+def monotonic_ms() -> float:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic() * 1_000
+
+
+class PeerNetwork:
+    """Send messages to peers and hand theirs to the registered handlers.
+
+    Args:
+        settings: This box's settings.
+        incarnation: This process's incarnation.
+        metrics: Counters for messages by kind.
+    """
+
+    def __init__(self, settings: Settings, incarnation: int, metrics: Metrics) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._context = zmq.asyncio.Context()
+        self._peers = {peer.box: peer for peer in settings.peers if peer.box != settings.box}
+        self._zone_by_box = {peer.box: peer.zone for peer in settings.peers}
+        self._key_owner = {peer.public_key: peer.box for peer in settings.peers if peer.public_key}
+        self._outboxes: dict[str, list[Frame]] = {name: [] for name in self._peers}
+        self._wakeups = {name: asyncio.Event() for name in self._peers}
+        self._handlers: dict[type, Handler] = {}
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._senders: dict[str, Sender] = {}
+        self._next_id = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._secret_key = b""
+
+    @property
+    def incarnation(self) -> int:
+        """This process's incarnation."""
+        return self._incarnation
+
+    @property
+    def peer_names(self) -> list[str]:
+        """All other boxes of the settings."""
+        return list(self._peers)
+
+    def known_incarnation(self, box: str) -> int:
+        """Return the newest incarnation seen of *box*, or 0."""
+        if box == self._settings.box:
+            return self._incarnation
+        sender = self._senders.get(box)
+        return 0 if sender is None else sender.incarnation
+
+    def zone_of(self, box: str) -> str:
+        """Return the availability zone of *box*, or an empty string."""
+        return self._zone_by_box.get(box, "")
+
+    def on(self, message_type: type, handler: Handler) -> None:
+        """Call ``handler(sender, message)`` for each message of *message_type*.
+
+        A handler returns the reply, ``None`` for no reply, or an awaitable of either.
+        """
+        self._handlers[message_type] = handler
+
+    async def start(self) -> None:
+        """Bind, connect to every peer and start the tasks."""
+        if self._settings.secret_key_file:
+            self._start_authenticator()
+        router = self._context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, 0)
+        router.setsockopt(zmq.RCVHWM, _HIGH_WATER_MARK)
+        router.setsockopt(zmq.MAXMSGSIZE, _ENVELOPE_MAX_BYTES)
+        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._secure_server(router)
+        router.bind(f"tcp://{self._settings.listen}")
+        self._spawn(self._receive(router))
+        for peer in self._peers.values():
+            self._spawn(self._send_to(peer))
+
+    async def stop(self) -> None:
+        """End the tasks and close the sockets."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def tell(self, box: str, message: object, ttl_ms: int = DEFAULT_TTL_MS) -> None:
+        """Send *message* to *box* without waiting for anything; it may be lost."""
+        if box == self._settings.box:
+            asyncio.get_running_loop().call_soon(self._dispatch_own, message)
+            return
+        self._enqueue(box, message, 0, 0, ttl_ms)
+
+    async def ask(self, box: str, message: object, timeout_ms: float) -> Any:
+        """Send *message* to *box* and return its reply.
+
+        Raises:
+            PeerUnreachableError: No reply within *timeout_ms*.
+        """
+        if box == self._settings.box:
+            return await self._answer_own(message)
+        self._next_id += 1
+        request_id = self._next_id
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = future
+        try:
+            self._enqueue(box, message, request_id, 0, int(timeout_ms) + 1)
+            return await asyncio.wait_for(future, timeout_ms / 1_000)
+        except TimeoutError:
+            raise PeerUnreachableError(f"{box} did not answer in {timeout_ms:.0f} ms") from None
+        finally:
+            self._waiting.pop(request_id, None)
+
+    async def _answer_own(self, message: object) -> Any:
+        reply = self._handlers[type(message)](self._settings.box, message)
+        return await reply if inspect.isawaitable(reply) else reply
+
+    def _dispatch_own(self, message: object) -> None:
+        reply = self._handlers[type(message)](self._settings.box, message)
+        if inspect.isawaitable(reply):
+            self._spawn(_wait(reply))
+
+    def _enqueue(
+        self, box: str, message: object, request_id: int, reply_to: int, ttl_ms: int
+    ) -> None:
+        outbox = self._outboxes.get(box)
+        if outbox is None:
+            return
+        if len(outbox) >= _OUTBOX_MAX:
+            self._metrics.count("messages.dropped.outbox-full")
+            return
+        frame = Frame(kind_of(message), request_id, reply_to, ttl_ms, encode_body(message))
+        outbox.append(frame)
+        self._metrics.count(f"messages.sent.{type(message).__name__}")
+        self._wakeups[box].set()
+
+    async def _send_to(self, peer: PeerSettings) -> None:
+        """Send everything that collects for *peer*, one envelope at a time."""
+        # A plain socket: it never waits on a peer that can't take the message now.
+        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(self._context.underlying)
+        dealer: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+        for option, value in (
+            (zmq.LINGER, 0),
+            (zmq.SNDHWM, _HIGH_WATER_MARK),
+            (zmq.IMMEDIATE, 1),
+            (zmq.RECONNECT_IVL, _RECONNECT_MS),
+            (zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS),
+            (zmq.HEARTBEAT_IVL, _HEARTBEAT_IVL_MS),
+            (zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS),
+        ):
+            dealer.setsockopt(option, value)
+        dealer.setsockopt(zmq.IDENTITY, f"{self._settings.box}/{self._incarnation}".encode())
+        self._secure_client(dealer, peer)
+        dealer.connect(f"tcp://{peer.address}")
+        wakeup = self._wakeups[peer.box]
+        try:
+            while True:
+                await wakeup.wait()
+                wakeup.clear()
+                while frames := self._outboxes[peer.box][:_FRAMES_PER_ENVELOPE_MAX]:
+                    del self._outboxes[peer.box][: len(frames)]
+                    self._send(dealer, frames)
+        finally:
+            dealer.close()
+
+    def _send(self, dealer: zmq.Socket[bytes], frames: list[Frame]) -> None:
+        envelope = Envelope(self._settings.box, self._incarnation, int(monotonic_ms()), frames)
+        data = encode_envelope(envelope)
+        try:
+            dealer.send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._metrics.count("messages.dropped.unsendable", len(frames))
+            return
+        self._metrics.count("envelopes.sent")
+        self._metrics.count("bytes.sent", len(data))
+
+    async def _receive(self, router: zmq.asyncio.Socket) -> None:
+        """Hand each arriving message to its handler."""
+        while True:
+            parts = await router.recv_multipart(copy=False)
+            try:
+                self._accept(parts)
+            except msgspec.DecodeError as error:
+                self._metrics.count("messages.dropped.malformed")
+                PEER_LOG.warning("Dropped a malformed message: {}.", error)
+            except Exception:
+                PEER_LOG.exception("A handler failed.")
+
+    def _accept(self, parts: list[zmq.Frame]) -> None:
+        data = parts[-1].bytes
+        envelope = decode_envelope(data)
+        self._metrics.count("bytes.received", len(data))
+        if not self._is_genuine(envelope.sender, parts[-1]):
+            self._metrics.count("messages.dropped.stranger")
+            PEER_LOG.warning("Dropped a message that claims to be from {}.", envelope.sender)
+            return
+        age_ms = self._note_sender(envelope)
+        if age_ms is None:
+            self._metrics.count("messages.dropped.old-incarnation", len(envelope.frames))
+            return
+        for frame in envelope.frames:
+            if age_ms > frame.ttl_ms:
+                self._metrics.count("messages.dropped.expired")
+                continue
+            self._dispatch(envelope.sender, frame)
+
+    def _is_genuine(self, sender: str, part: zmq.Frame) -> bool:
+        if sender not in self._peers:
+            return False
+        if not self._settings.secret_key_file:
+            return True
+        return self._key_owner.get(str(part.get("User-Id"))) == sender
+
+    def _note_sender(self, envelope: Envelope) -> float | None:
+        """Return the envelope's age in milliseconds, or ``None`` if its sender is gone."""
+        offset = monotonic_ms() - envelope.sent_ms
+        known = self._senders.get(envelope.sender)
+        if known is not None and envelope.incarnation < known.incarnation:
+            return None
+        if known is None or envelope.incarnation > known.incarnation:
+            self._senders[envelope.sender] = Sender(envelope.incarnation, offset)
+            return 0.0
+        if offset < known.offset_ms:
+            self._senders[envelope.sender] = Sender(known.incarnation, offset)
+            return 0.0
+        return offset - known.offset_ms
+
+    def _dispatch(self, sender: str, frame: Frame) -> None:
+        message = decode_body(frame)
+        if frame.reply_to:
+            future = self._waiting.get(frame.reply_to)
+            if future is None or future.done():
+                self._metrics.count("messages.wasted.late-reply")
+                return
+            future.set_result(message)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._metrics.count("messages.dropped.unhandled")
+            return
+        reply = handler(sender, message)
+        if inspect.isawaitable(reply):
+            self._spawn(self._reply_later(sender, frame, reply))
+            return
+        self._reply(sender, frame, reply)
+
+    async def _reply_later(self, sender: str, frame: Frame, reply: Any) -> None:
+        try:
+            self._reply(sender, frame, await reply)
+        except Exception:
+            PEER_LOG.exception("A handler failed.")
+
+    def _reply(self, sender: str, frame: Frame, reply: object) -> None:
+        if reply is None or not frame.id:
+            return
+        self._enqueue(sender, reply, 0, frame.id, frame.ttl_ms)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _start_authenticator(self) -> None:
+        self._secret_key = read_secret_key(self._settings.secret_key_file)
+        allowed = set(self._key_owner)
+        metrics = self._metrics
+
+        class _KnownPeers:
+            """Admit only the public keys in the settings."""
+
+            def callback(self, _domain: str, key: bytes) -> bool:
+                known = key.decode("ascii") in allowed
+                if not known:
+                    metrics.count("messages.dropped.unknown-key")
+                return known
+
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback("*", _KnownPeers())
+
+    def _secure_server(self, socket: zmq.asyncio.Socket) -> None:
+        if not self._secret_key:
+            return
+        socket.curve_secretkey = self._secret_key
+        socket.curve_publickey = zmq.curve_public(self._secret_key)
+        socket.curve_server = True
+
+    def _secure_client(self, socket: zmq.Socket[bytes], peer: PeerSettings) -> None:
+        if not self._secret_key:
+            return
+        socket.curve_secretkey = self._secret_key
+        socket.curve_publickey = zmq.curve_public(self._secret_key)
+        socket.curve_serverkey = peer.public_key.encode()
+
+
+async def _wait(awaitable: Any) -> None:
+    """Await *awaitable* and drop its result."""
+    await awaitable
+
+
+def read_secret_key(path: str) -> bytes:
+    """Return the Z85 secret key in the file at *path*."""
+    return Path(path).read_text(encoding="ascii").strip().encode()
--- /dev/null
+++ b/src/foldloom/placement/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Placement: slot leases, shares, limits, health."""
--- /dev/null
+++ b/src/foldloom/placement/health.py
@@ -0,0 +1,87 @@
+# SPDX-License-Identifier: MIT
+"""Which workers are sick: ejected on failures, on tasks overdue, or far slower than peers.
+
+An ejected worker gets one task at a time as a probe; no more than a set share is ejected.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+_FAILURES_TO_EJECT = 3
+_PROBE_SUCCESSES = 2
+
+
+class Condition(NamedTuple):
+    """What is known of one worker's health.
+
+    Args:
+        failures: Failures in a row.
+        ejected_until_ms: While ejected, when the next probe may go; else 0.
+        successes: Probes in a row that went well.
+    """
+
+    failures: int = 0
+    ejected_until_ms: float = 0.0
+    successes: int = 0
+
+
+_WELL = Condition()
+
+
+class Health:
+    """The health of a shard's workers.
+
+    Args:
+        ejection_ms: How long until an ejected worker is probed.
+        share_max: The most workers ejected at a time, as a share.
+    """
+
+    def __init__(self, ejection_ms: int, share_max: float) -> None:
+        self._ejection_ms = ejection_ms
+        self._share_max = share_max
+        self._conditions: dict[str, Condition] = {}
+
+    def is_ejected(self, worker: str) -> bool:
+        """Return whether *worker* is ejected."""
+        return self._conditions.get(worker, _WELL).ejected_until_ms > 0
+
+    def may_probe(self, worker: str, now_ms: float) -> bool:
+        """Return whether an ejected *worker* is due for a probe."""
+        return now_ms >= self._conditions.get(worker, _WELL).ejected_until_ms
+
+    def note_success(self, worker: str) -> bool:
+        """Take in a task that went well; return whether *worker* came back."""
+        known = self._conditions.get(worker)
+        if known is None:
+            return False
+        if not known.ejected_until_ms:
+            del self._conditions[worker]
+            return False
+        successes = known.successes + 1
+        if successes >= _PROBE_SUCCESSES:
+            del self._conditions[worker]
+            return True
+        self._conditions[worker] = known._replace(successes=successes, ejected_until_ms=1.0)
+        return False
+
+    def note_failure(self, worker: str, worker_count: int, now_ms: float) -> bool:
+        """Take in a failure; return whether *worker* is ejected for it."""
+        known = self._conditions.get(worker, _WELL)
+        failures = known.failures + 1
+        self._conditions[worker] = known._replace(failures=failures, successes=0)
+        if known.ejected_until_ms:
+            return self.eject(worker, worker_count, now_ms)
+        if failures < _FAILURES_TO_EJECT:
+            return False
+        return self.eject(worker, worker_count, now_ms)
+
+    def eject(self, worker: str, worker_count: int, now_ms: float) -> bool:
+        """Eject *worker* unless too many are; return whether it is ejected."""
+        known = self._conditions.get(worker, _WELL)
+        ejected = sum(1 for one in self._conditions.values() if one.ejected_until_ms)
+        if not known.ejected_until_ms and ejected + 1 > worker_count * self._share_max:
+            return False
+        until = now_ms + self._ejection_ms
+        self._conditions[worker] = known._replace(ejected_until_ms=until, successes=0)
+        return True
--- /dev/null
+++ b/src/foldloom/placement/lease_manager.py
@@ -0,0 +1,185 @@
+# SPDX-License-Identifier: MIT
+"""The lease manager of one box: the shards that it manages now, and their messages."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from foldloom.controllers.config import Config
+from foldloom.logs import PLACE_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.membership import ZoneLoad
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.placement.messages import (
+    SlotCancel,
+    SlotHold,
+    SlotRequest,
+    SlotReturn,
+)
+from foldloom.placement.policies import Policy
+from foldloom.placement.shard import Shard
+from foldloom.placement.shards import may_take, shard_names
+from foldloom.settings import Settings
+
+_TICK_S = 0.1
+_SETTLE_MS = 300
+_GRANT_TTL_MS = 500
+_LEASE_ID_BITS = 62
+
+
+class LeaseManager:
+    """Manage the shards that fall to this box.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        metrics: Counters.
+        policy: How a slot is chosen.
+        manager_of: Returns the lease manager of a shard, as this box sees it.
+        proves_life: Asks a worker for a sign of life.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: PeerNetwork,
+        metrics: Metrics,
+        policy: Policy,
+        manager_of: Callable[[str], str],
+        proves_life: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._metrics = metrics
+        self._policy = policy
+        self._manager_of = manager_of
+        self._proves_life = proves_life
+        self._shards: dict[str, Shard] = {}
+        self._settled_ms: dict[str, float] = {}
+        self._shard_of_worker: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        # A random start keeps ids of different lease managers apart.
+        self._lease_ids = itertools.count(random.getrandbits(_LEASE_ID_BITS))
+        network.on(SlotRequest, self._on_request)
+        network.on(SlotCancel, self._on_cancel)
+        network.on(SlotReturn, self._on_return)
+        network.on(SlotHold, self._on_hold)
+
+    @property
+    def loads(self) -> list[ZoneLoad]:
+        """How loaded each managed shard is, for the heartbeat."""
+        return [
+            ZoneLoad(name, shard.free_slots, shard.queued, 0.0)
+            for name, shard in self._shards.items()
+        ]
+
+    @property
+    def shards(self) -> dict[str, Shard]:
+        """The shards that this box manages, by name."""
+        return dict(self._shards)
+
+    def follow(self, config: Config, leaving: set[str], reachable_zones: set[str]) -> None:
+        """Take over or leave shards, and take the workers' states."""
+        names = shard_names(config, self._settings.limits.lease_shard_workers)
+        self._shard_of_worker = {
+            worker: shard for shard, workers in names.items() for worker in workers
+        }
+        for gone in set(self._shards) - set(names):
+            self._leave(gone)
+        usable = {
+            name
+            for name, worker in config.workers.items()
+            if name not in leaving and may_take(worker, reachable_zones)
+        }
+        for name, workers in names.items():
+            if self._manager_of(name) != self._settings.box:
+                self._leave(name)
+                continue
+            shard = self._shards.get(name) or self._take_over(name)
+            shard.set_workers(config, workers, usable)
+
+    async def run(self) -> None:
+        """End leases, probe sick workers and hand out slots, until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now_ms = monotonic_ms()
+            for name, shard in list(self._shards.items()):
+                shard.tick(now_ms)
+                for worker in shard.to_prove(now_ms):
+                    shard.note_dead(worker, now_ms)
+                    self._spawn(self._prove(shard, worker))
+                self._hand_out(name, shard)
+                self._metrics.gauge(f"leases.{name}", shard.lease_count)
+                self._metrics.gauge(f"queue.{name}", shard.queued)
+
+    async def _prove(self, shard: Shard, worker: str) -> None:
+        self._metrics.count("messages.wasted.probe")
+        if await self._proves_life(worker):
+            shard.prove(worker)
+
+    def _take_over(self, name: str) -> Shard:
+        shard = Shard(self._settings, self._policy, self._lease_ids)
+        self._shards[name] = shard
+        # Others' leases are not known yet: wait for their holders to report them.
+        self._settled_ms[name] = monotonic_ms() + _SETTLE_MS
+        PLACE_LOG.info("Manage the leases of shard {}.", name)
+        return shard
+
+    def _leave(self, name: str) -> None:
+        if self._shards.pop(name, None) is not None:
+            self._settled_ms.pop(name, None)
+            PLACE_LOG.info("Leave the leases of shard {} to another box.", name)
+
+    def _on_request(self, sender: str, message: SlotRequest) -> None:
+        shard = self._shards.get(message.shard)
+        if shard is None:
+            return
+        refusal = shard.add(sender, message)
+        if refusal is not None:
+            PLACE_LOG.info(
+                "Refuse {} tasks of {} for {}: {}.",
+                message.tasks,
+                message.service,
+                message.member,
+                refusal.reason,
+            )
+            self._network.tell(sender, refusal)
+            return
+        self._hand_out(message.shard, shard)
+
+    def _on_cancel(self, sender: str, message: SlotCancel) -> None:
+        for shard in self._shards.values():
+            shard.cancel(sender, message.request_id)
+
+    def _on_return(self, _sender: str, message: SlotReturn) -> None:
+        name = self._shard_of_worker.get(message.worker, "")
+        shard = self._shards.get(name)
+        if shard is None:
+            self._metrics.count("messages.wasted.return")
+            return
+        shard.give_back(message, monotonic_ms())
+        self._hand_out(name, shard)
+
+    def _on_hold(self, sender: str, message: SlotHold) -> None:
+        now_ms = monotonic_ms()
+        for held in message.leases:
+            shard = self._shards.get(self._shard_of_worker.get(held.worker, ""))
+            if shard is not None:
+                shard.hold(sender, held, now_ms)
+
+    def _hand_out(self, name: str, shard: Shard) -> None:
+        if monotonic_ms() < self._settled_ms.get(name, 0.0):
+            return
+        for grant in shard.match(monotonic_ms()):
+            self._network.tell(grant.coordinator, grant.message, _GRANT_TTL_MS)
+        for event in shard.take_events():
+            PLACE_LOG.info("{}", event)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/foldloom/placement/retries.py
@@ -0,0 +1,52 @@
+# SPDX-License-Identifier: MIT
+"""The one place that decides whether an attempt may be made again, and the retry budget."""
+
+from __future__ import annotations
+
+from foldloom.controllers.config import RESTART_AFTER_WORKER_DEATH, Service
+from foldloom.verdicts import Problem, Run
+
+_TOKENS_START = 10.0
+_TOKENS_MAX = 100.0
+_WORKER_DEATHS = ("worker-lost",)
+
+
+class RetryBudget:
+    """Allow retries as a share of recent starts, so that a failing zone makes no storm.
+
+    Args:
+        share: Retries for each start, on average.
+    """
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._tokens = _TOKENS_START
+
+    @property
+    def tokens(self) -> float:
+        """How many retries are allowed now."""
+        return self._tokens
+
+    def note_start(self) -> None:
+        """Count a start."""
+        self._tokens = min(_TOKENS_MAX, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry out of the budget; return whether there was one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def may_retry(problem: Problem, service: Service, is_repeatable: bool) -> bool:
+    """Return whether a task may be attempted again after *problem*.
+
+    An attempt that certainly did not run may always be. One that may have run may be only
+    after its worker died, only if the service says so and the request is repeatable.
+    """
+    if problem.run is Run.NOT_RUN:
+        return True
+    if service["restart"] != RESTART_AFTER_WORKER_DEATH:
+        return False
+    return is_repeatable and problem.reason in _WORKER_DEATHS
