--- /dev/null
+++ b/src/foldloom/placement/shard.py
@@ -0,0 +1,428 @@
+# SPDX-License-Identifier: MIT
+"""One shard's soft state: free slots, leases, the queue, and who gets the next slot.
+
+Nothing here waits or sends; a lease manager calls it and sends what it returns.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from foldloom.controllers.config import Config, workers_of
+from foldloom.placement.health import Health
+from foldloom.placement.messages import (
+    HeldSlot,
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+    SlotReturn,
+    SlotUse,
+)
+from foldloom.placement.policies import Candidate, Policy, View, choose
+from foldloom.placement.shares import RoundRobin
+from foldloom.placement.speeds import SpeedTable
+from foldloom.settings import Settings
+
+_SICK_RATIO = 4.0
+_OVERDUE_RATIO = 6.0
+_OVERDUE_MIN_MS = 1_000
+_ADMIT_SHARE = 0.8
+_RETRY_MIN_MS = 50
+_RETRY_MAX_MS = 10_000
+
+
+class Lease(NamedTuple):
+    """A slot in a coordinator's hands."""
+
+    lease_id: int
+    worker: str
+    service: str
+    member: str
+    coordinator: str
+    since_ms: float
+    renewed_ms: float
+    is_probe: bool
+
+
+class Grant(NamedTuple):
+    """A grant and the coordinator that it goes to."""
+
+    coordinator: str
+    message: SlotGrant
+
+
+class Pending:
+    """A request of which some tasks still wait."""
+
+    __slots__ = ("coordinator", "left", "request")
+
+    def __init__(self, coordinator: str, request: SlotRequest) -> None:
+        self.coordinator = coordinator
+        self.request = request
+        self.left = request.tasks
+
+
+class Shard:
+    """The workers of one shard.
+
+    Args:
+        settings: Limits and timings.
+        policy: How a slot is chosen.
+        lease_ids: Gives each lease its id.
+    """
+
+    def __init__(self, settings: Settings, policy: Policy, lease_ids: Iterator[int]) -> None:
+        self._settings = settings
+        self._policy = policy
+        self._lease_ids = lease_ids
+        self._config: Config | None = None
+        self._usable: set[str] = set()
+        self._workers_of: dict[str, list[str]] = {}
+        self._leases: dict[int, Lease] = {}
+        self._busy: dict[str, int] = {}
+        self._running: dict[tuple[str, str], int] = {}
+        self._queues: dict[str, deque[Pending]] = {}
+        self._pending: dict[tuple[str, int], Pending] = {}
+        self._turns = RoundRobin(self._quota_of)
+        self._speeds = SpeedTable()
+        self._health = Health(settings.timings.ejection_ms, settings.limits.ejected_share_max)
+        self._proven: set[str] = set()
+        self._events: list[str] = []
+
+    @property
+    def queued(self) -> int:
+        """How many tasks wait."""
+        return sum(pending.left for pending in self._pending.values())
+
+    @property
+    def free_slots(self) -> int:
+        """How many slots no lease holds, on workers that get work."""
+        return sum(self._free_of(worker, 0.0) for worker in self._usable)
+
+    @property
+    def lease_count(self) -> int:
+        """How many leases are out."""
+        return len(self._leases)
+
+    @property
+    def speeds(self) -> SpeedTable:
+        """The measured speeds."""
+        return self._speeds
+
+    def take_events(self) -> list[str]:
+        """Return and clear the sentences to log."""
+        events, self._events = self._events, []
+        return events
+
+    def set_workers(self, config: Config, names: list[str], usable: set[str]) -> None:
+        """Take the configuration: *names* are this shard's workers, *usable* get work."""
+        self._config = config
+        self._usable = usable.intersection(names)
+        members = set(names)
+        self._workers_of = {
+            service: [name for name in workers_of(config, service) if name in members]
+            for service in config.services
+        }
+
+    def add(self, coordinator: str, request: SlotRequest) -> SlotRefusal | None:
+        """Queue *request*, or return why it is refused at once."""
+        key = (coordinator, request.request_id)
+        if key in self._pending:
+            return None
+        refusal = self._judge(request)
+        if refusal is not None:
+            return refusal
+        pending = Pending(coordinator, request)
+        self._pending[key] = pending
+        self._queues.setdefault(request.member, deque()).append(pending)
+        self._turns.add(request.member)
+        return None
+
+    def cancel(self, coordinator: str, request_id: int) -> None:
+        """Drop a request."""
+        pending = self._pending.get((coordinator, request_id))
+        if pending is not None:
+            self._drop(pending)
+
+    def cancel_all_of(self, coordinator: str) -> None:
+        """Drop every request of a coordinator that is gone."""
+        for key in [key for key in self._pending if key[0] == coordinator]:
+            self._drop(self._pending[key])
+
+    def hold(self, coordinator: str, held: HeldSlot, now_ms: float) -> None:
+        """Renew a lease, or learn of one that an earlier lease manager made."""
+        known = self._leases.get(held.lease_id)
+        if known is not None:
+            self._leases[held.lease_id] = known._replace(renewed_ms=now_ms)
+            return
+        since = now_ms - held.age_ms
+        self._lend(
+            Lease(
+                held.lease_id,
+                held.worker,
+                held.service,
+                held.member,
+                coordinator,
+                since,
+                now_ms,
+                False,
+            )
+        )
+
+    def give_back(self, message: SlotReturn, now_ms: float) -> None:
+        """Take a slot back and learn from what came of it."""
+        lease = self._leases.get(message.lease_id)
+        if lease is not None:
+            self._end(lease)
+        if message.use is SlotUse.DONE:
+            is_probe = self._health.is_ejected(message.worker)
+            self._speeds.note(message.service, message.worker, message.service_ms, is_probe)
+            self._judge_success(message, now_ms)
+        elif message.use in (SlotUse.FAILED, SlotUse.NOT_RUN):
+            self._note_failure(message.worker, now_ms)
+
+    def prove(self, worker: str) -> None:
+        """Note that an ejected worker answers again, so that a task may probe it."""
+        self._proven.add(worker)
+
+    def to_prove(self, now_ms: float) -> list[str]:
+        """Return the ejected workers that are due for a sign of life."""
+        return [
+            worker
+            for worker in self._usable
+            if self._health.is_ejected(worker)
+            and worker not in self._proven
+            and self._health.may_probe(worker, now_ms)
+        ]
+
+    def note_dead(self, worker: str, now_ms: float) -> None:
+        """Note that an ejected worker gave no sign of life."""
+        self._health.eject(worker, len(self._usable), now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """End leases that were not renewed and eject workers whose tasks are overdue."""
+        ttl = self._settings.timings.lease_ttl_ms
+        overdue: dict[str, int] = {}
+        for lease in list(self._leases.values()):
+            if now_ms - lease.renewed_ms > ttl:
+                self._events.append(f"Lease {lease.lease_id} on {lease.worker} ran out.")
+                self._end(lease)
+                continue
+            limit = _OVERDUE_RATIO * self._speeds.mean_ms(lease.service, lease.worker)
+            if now_ms - lease.since_ms > max(_OVERDUE_MIN_MS, limit):
+                overdue[lease.worker] = overdue.get(lease.worker, 0) + 1
+        for worker, count in overdue.items():
+            if count * 2 >= self._busy.get(worker, 0) and not self._health.is_ejected(worker):
+                self._eject(worker, "its tasks are overdue", now_ms)
+
+    def match(self, now_ms: float) -> list[Grant]:
+        """Hand out slots to whoever is next, as long as that is better than to wait."""
+        grants: list[Grant] = []
+        while self._pending:
+            grant = self._match_one(now_ms)
+            if grant is None:
+                break
+            grants.append(grant)
+        return grants
+
+    def expected_wait_ms(self, service: str) -> float:
+        """Return how long a new task of *service* is expected to wait."""
+        rate = self._rate(service)
+        if rate <= 0.0:
+            return float(_RETRY_MAX_MS)
+        excess = self.queued - self.free_slots
+        return max(0.0, excess / rate)
+
+    def _match_one(self, now_ms: float) -> Grant | None:
+        ahead: dict[str, int] = {}
+        candidates: dict[str, list[Candidate]] = {}
+        for member in self._turns.order():
+            if self._is_member_full(member):
+                continue
+            for pending in self._queues[member]:
+                service = pending.request.service
+                if service not in candidates:
+                    candidates[service] = self._candidates(service, now_ms)
+                position = ahead.get(service, 0) + pending.left - 1
+                ahead[service] = position + 1
+                worker = self._choose(service, candidates[service], position)
+                if worker is not None:
+                    return self._grant(pending, worker, now_ms)
+        return None
+
+    def _choose(self, service: str, candidates: list[Candidate], position: int) -> str | None:
+        if not any(one.free_slots for one in candidates) or self._is_service_full(service):
+            return None
+        for one in candidates:
+            if one.free_slots and self._health.is_ejected(one.worker):
+                return one.worker
+        return choose(self._policy, View(candidates, position))
+
+    def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
+        return [
+            Candidate(
+                worker,
+                self._speeds.mean_ms(service, worker),
+                self._free_of(worker, now_ms),
+                self._busy.get(worker, 0),
+            )
+            for worker in self._workers_of.get(service, ())
+            if worker in self._usable
+        ]
+
+    def _free_of(self, worker: str, now_ms: float) -> int:
+        """Return the free slots of *worker*; an ejected one has one if it may be probed."""
+        if self._config is None or worker not in self._config.workers:
+            return 0
+        busy = self._busy.get(worker, 0)
+        if self._health.is_ejected(worker):
+            may_probe = worker in self._proven and self._health.may_probe(worker, now_ms)
+            return 1 if may_probe and not busy else 0
+        return max(0, self._config.workers[worker]["slots"] - busy)
+
+    def _grant(self, pending: Pending, worker: str, now_ms: float) -> Grant:
+        request = pending.request
+        lease_id = next(self._lease_ids)
+        is_probe = self._health.is_ejected(worker)
+        if is_probe:
+            self._proven.discard(worker)
+            self._events.append(f"Probe {worker} with one task.")
+        self._lend(
+            Lease(
+                lease_id,
+                worker,
+                request.service,
+                request.member,
+                pending.coordinator,
+                now_ms,
+                now_ms,
+                is_probe,
+            )
+        )
+        self._turns.charge(request.member)
+        pending.left -= 1
+        if pending.left == 0:
+            self._drop(pending)
+        ttl = self._settings.timings.lease_ttl_ms
+        message = SlotGrant(request.request_id, worker, lease_id, ttl)
+        return Grant(pending.coordinator, message)
+
+    def _judge(self, request: SlotRequest) -> SlotRefusal | None:
+        """Return a refusal if the request can't be served in time."""
+        limits = self._settings.limits
+        workers = self._workers_of.get(request.service, ())
+        if not any(worker in self._usable for worker in workers):
+            return SlotRefusal(request.request_id, "no-worker", 1_000)
+        queue = self._queues.get(request.member, ())
+        queued_member = sum(pending.left for pending in queue)
+        is_full = (
+            self.queued + request.tasks > limits.queued_tasks_max
+            or queued_member + request.tasks > limits.queued_tasks_per_member_max
+        )
+        wait_ms = self._member_wait_ms(request, queued_member)
+        mean_ms = self._speeds.service_mean_ms(request.service)
+        over_ms = wait_ms + mean_ms - request.left_ms * _ADMIT_SHARE
+        if not is_full and (over_ms <= 0 or wait_ms <= 0):
+            return None
+        retry_after = int(min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, over_ms)))
+        return SlotRefusal(request.request_id, "queue-full" if is_full else "too-late", retry_after)
+
+    def _member_wait_ms(self, request: SlotRequest, queued_member: int) -> float:
+        """Return the expected wait of a request's last task, by its member's own share."""
+        rate = self._rate(request.service)
+        if rate <= 0.0:
+            return float(_RETRY_MAX_MS)
+        excess = self.queued + request.tasks - self.free_slots
+        if excess <= 0:
+            return 0.0
+        backlogged = {*self._queues, request.member}
+        share = self._quota_of(request.member) / sum(map(self._quota_of, backlogged))
+        own_wait = (queued_member + request.tasks) / (rate * share)
+        return min(excess / rate, own_wait)
+
+    def _rate(self, service: str) -> float:
+        """Return how many tasks of *service* the shard can finish a millisecond."""
+        if self._config is None:
+            return 0.0
+        return sum(
+            self._config.workers[worker]["slots"] / self._speeds.mean_ms(service, worker)
+            for worker in self._workers_of.get(service, ())
+            if worker in self._usable and not self._health.is_ejected(worker)
+        )
+
+    def _quota_of(self, member: str) -> int:
+        if self._config is None or member not in self._config.members:
+            return 1
+        return self._config.members[member]["quota"]
+
+    def _is_member_full(self, member: str) -> bool:
+        if self._config is None or member not in self._config.members:
+            return False
+        most = self._config.members[member]["concurrency_max"]
+        return bool(most) and self._running.get(("member", member), 0) >= most
+
+    def _is_service_full(self, service: str) -> bool:
+        if self._config is None or service not in self._config.services:
+            return True
+        most = self._config.services[service]["concurrency_max"]
+        return bool(most) and self._running.get(("service", service), 0) >= most
+
+    def _lend(self, lease: Lease) -> None:
+        self._leases[lease.lease_id] = lease
+        self._count(lease, 1)
+
+    def _end(self, lease: Lease) -> None:
+        del self._leases[lease.lease_id]
+        self._count(lease, -1)
+
+    def _count(self, lease: Lease, by: int) -> None:
+        self._busy[lease.worker] = self._busy.get(lease.worker, 0) + by
+        for key in (("member", lease.member), ("service", lease.service)):
+            self._running[key] = self._running.get(key, 0) + by
+
+    def _drop(self, pending: Pending) -> None:
+        member = pending.request.member
+        self._pending.pop((pending.coordinator, pending.request.request_id), None)
+        queue = self._queues[member]
+        queue.remove(pending)
+        if not queue:
+            del self._queues[member]
+            self._turns.remove(member)
+
+    def _judge_success(self, message: SlotReturn, now_ms: float) -> None:
+        worker = message.worker
+        mean_ms = self._speeds.mean_ms(message.service, worker)
+        if mean_ms > _SICK_RATIO * self._peer_mean_ms(message.service, worker):
+            if not self._health.is_ejected(worker):
+                self._eject(worker, "it is far slower than its peers", now_ms)
+            else:
+                self._health.eject(worker, len(self._usable), now_ms)
+            return
+        if self._health.note_success(worker):
+            self._events.append(f"{worker} is well again.")
+        elif self._health.is_ejected(worker):
+            self._proven.add(worker)
+
+    def _peer_mean_ms(self, service: str, worker: str) -> float:
+        """Return the median service time of *worker*'s peers."""
+        means = sorted(
+            self._speeds.mean_ms(service, peer)
+            for peer in self._workers_of.get(service, ())
+            if peer != worker and peer in self._usable
+        )
+        if not means:
+            return self._speeds.mean_ms(service, worker)
+        return means[len(means) // 2]
+
+    def _note_failure(self, worker: str, now_ms: float) -> None:
+        was_ejected = self._health.is_ejected(worker)
+        is_ejected = self._health.note_failure(worker, len(self._usable), now_ms)
+        self._proven.discard(worker)
+        if is_ejected and not was_ejected:
+            self._events.append(f"Eject {worker}: it failed again and again.")
+
+    def _eject(self, worker: str, why: str, now_ms: float) -> None:
+        if self._health.eject(worker, len(self._usable), now_ms):
+            self._events.append(f"Eject {worker}: {why}.")
--- /dev/null
+++ b/src/foldloom/placement/shards.py
@@ -0,0 +1,52 @@
+# SPDX-License-Identifier: MIT
+"""Which lease manager hands out which workers' slots.
+
+Workers are grouped into shards; each shard has one lease manager: the live entry box that
+rendezvous hashing picks. A small fleet is one shard, so that one queue sees every slot; a
+larger one is split by zone, then by hash.
+"""
+
+from __future__ import annotations
+
+import xxhash
+
+from foldloom.controllers.config import Config, Worker
+
+FLEET = "fleet"
+
+
+def shard_names(config: Config, shard_workers_max: int) -> dict[str, list[str]]:
+    """Return the workers of each shard, by the shard's name."""
+    if len(config.workers) <= shard_workers_max:
+        return {FLEET: list(config.workers)} if config.workers else {}
+    by_zone: dict[str, list[str]] = {}
+    for name, worker in config.workers.items():
+        by_zone.setdefault(worker["zone"], []).append(name)
+    shards: dict[str, list[str]] = {}
+    for zone, names in by_zone.items():
+        count = -(-len(names) // shard_workers_max)
+        for name in names:
+            shards.setdefault(f"{zone}/{_bucket(name, count)}", []).append(name)
+    return shards
+
+
+def manager_of(shard: str, zone_by_box: dict[str, str]) -> str:
+    """Return the lease manager of *shard* among the live boxes, or an empty string.
+
+    A zone's shard is managed in its zone while a box there is live.
+    """
+    zone = shard.partition("/")[0]
+    inside = [box for box, box_zone in zone_by_box.items() if box_zone == zone]
+    boxes = inside or list(zone_by_box)
+    if not boxes:
+        return ""
+    return max(boxes, key=lambda box: (xxhash.xxh3_64_intdigest(f"{shard}|{box}".encode()), box))
+
+
+def may_take(worker: Worker, reachable_zones: set[str]) -> bool:
+    """Return whether *worker* lies in a zone that can be reached."""
+    return worker["zone"] in reachable_zones
+
+
+def _bucket(name: str, count: int) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode()) % count
--- /dev/null
+++ b/src/foldloom/placement/slots.py
@@ -0,0 +1,340 @@
+# SPDX-License-Identifier: MIT
+"""A coordinator's side of slots: ask for them, hold them, give them back.
+
+Two sources with the same calls: :class:`LeasedSlots` asks lease managers;
+:class:`DirectSlots` picks a worker at once by a baseline policy, without any lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from foldloom.controllers.config import Config
+from foldloom.metrics import Metrics
+from foldloom.peers.membership import ZoneLoad
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.placement.messages import (
+    HeldSlot,
+    SlotCancel,
+    SlotGrant,
+    SlotHold,
+    SlotRefusal,
+    SlotRequest,
+    SlotReturn,
+    SlotUse,
+)
+from foldloom.placement.policies import Candidate, Policy, View, choose
+from foldloom.placement.shards import shard_names
+from foldloom.settings import Settings
+
+_CHECK_S = 0.1
+_RESEND_MS = 1_000
+_SAFETY_MS = 100
+
+
+class Slot(NamedTuple):
+    """A slot that this box may use now.
+
+    Args:
+        lease_id: The lease; 0 for a direct pick.
+        worker: The worker's name.
+        service: The service it was asked for.
+        member: On whose account.
+        granted_ms: Own monotonic clock at its arrival.
+        expires_ms: After this no task may start on it.
+    """
+
+    lease_id: int
+    worker: str
+    service: str
+    member: str
+    granted_ms: float
+    expires_ms: float
+
+
+class Want:
+    """A job's wish for slots; slots and a refusal come out of ``arrivals``.
+
+    Args:
+        request_id: This box's number for it.
+        service: Whose workers may serve.
+        member: On whose account.
+        deadline_ms: The job's deadline on the own monotonic clock.
+        job_tasks: How many tasks the whole job has.
+    """
+
+    def __init__(
+        self, request_id: int, service: str, member: str, deadline_ms: float, job_tasks: int
+    ) -> None:
+        self.request_id = request_id
+        self.service = service
+        self.member = member
+        self.deadline_ms = deadline_ms
+        self.job_tasks = job_tasks
+        self.outstanding = 0
+        self.shard = ""
+        self.asked_of = ""
+        self.touched_ms = 0.0
+        self.arrivals: asyncio.Queue[Slot | SlotRefusal] = asyncio.Queue()
+
+
+class SlotSource(Protocol):
+    """What a job needs of either source."""
+
+    def want(self, service: str, member: str, deadline_ms: float, job_tasks: int) -> Want:
+        """Open a wish; nothing is asked yet."""
+
+    def ask(self, want: Want, count: int) -> None:
+        """Ask for *count* more slots."""
+
+    def close(self, want: Want) -> None:
+        """End a wish: what still arrives goes back unused."""
+
+    def give_back(self, slot: Slot, service_ms: float, use: SlotUse) -> None:
+        """Give a slot back and tell what came of it."""
+
+
+class LeasedSlots:
+    """Slots by lease.
+
+    Args:
+        settings: This box's settings.
+        network: The peers.
+        metrics: Counters.
+        config: Returns the configuration in force.
+        manager_of: Returns the lease manager of a shard, as this box sees it.
+        loads: Returns the last known load of each shard.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        network: PeerNetwork,
+        metrics: Metrics,
+        config: Callable[[], Config],
+        manager_of: Callable[[str], str],
+        loads: Callable[[], dict[str, ZoneLoad]],
+    ) -> None:
+        self._settings = settings
+        self._network = network
+        self._metrics = metrics
+        self._config = config
+        self._manager_of = manager_of
+        self._loads = loads
+        self._ids = itertools.count(1)
+        self._wants: dict[int, Want] = {}
+        self._held: dict[int, Slot] = {}
+        self._shards: tuple[int, dict[str, list[str]]] = (-1, {})
+        self._managers: dict[str, str] = {}
+        network.on(SlotGrant, self._on_grant)
+        network.on(SlotRefusal, self._on_refusal)
+
+    @property
+    def held_count(self) -> int:
+        """How many leases this box holds."""
+        return len(self._held)
+
+    def want(self, service: str, member: str, deadline_ms: float, job_tasks: int) -> Want:
+        """Open a wish; nothing is asked yet."""
+        want = Want(next(self._ids), service, member, deadline_ms, job_tasks)
+        self._wants[want.request_id] = want
+        return want
+
+    def ask(self, want: Want, count: int) -> None:
+        """Ask for *count* more slots."""
+        if want.outstanding:
+            # One request at a time: a number that is sent again counts once.
+            self._send(SlotCancel(want.request_id), want.asked_of)
+            del self._wants[want.request_id]
+            want.request_id = next(self._ids)
+            self._wants[want.request_id] = want
+        want.outstanding += count
+        self._send_request(want)
+
+    def close(self, want: Want) -> None:
+        """End a wish: what still arrives goes back unused."""
+        self._wants.pop(want.request_id, None)
+        if want.outstanding:
+            self._send(SlotCancel(want.request_id), want.asked_of)
+            want.outstanding = 0
+        while not want.arrivals.empty():
+            arrival = want.arrivals.get_nowait()
+            if isinstance(arrival, Slot):
+                self.give_back(arrival, 0.0, SlotUse.UNUSED)
+
+    def give_back(self, slot: Slot, service_ms: float, use: SlotUse) -> None:
+        """Give a slot back and tell what came of it."""
+        self._held.pop(slot.lease_id, None)
+        if use is SlotUse.UNUSED:
+            self._metrics.count("messages.wasted.unused-slot")
+        message = SlotReturn(slot.lease_id, slot.worker, slot.service, service_ms, use)
+        self._send(message, self._manager_of_worker(slot.worker))
+
+    async def run(self) -> None:
+        """Renew leases, and ask again where a lease manager was lost, until cancelled."""
+        renewed_ms = monotonic_ms()
+        while True:
+            await asyncio.sleep(_CHECK_S)
+            now_ms = monotonic_ms()
+            changed = self._note_managers()
+            if changed or now_ms - renewed_ms > self._settings.timings.lease_ttl_ms / 4:
+                renewed_ms = now_ms
+                self._renew(now_ms)
+            for want in list(self._wants.values()):
+                is_stale = now_ms - want.touched_ms > _RESEND_MS
+                if want.outstanding and (is_stale or self._manager_of(want.shard) != want.asked_of):
+                    self._send_request(want)
+
+    def _shard_names(self) -> dict[str, list[str]]:
+        config = self._config()
+        if self._shards[0] != config.version:
+            names = shard_names(config, self._settings.limits.lease_shard_workers)
+            self._shards = (config.version, names)
+        return self._shards[1]
+
+    def _note_managers(self) -> bool:
+        """Return whether a shard has another lease manager than at the last call."""
+        managers = {shard: self._manager_of(shard) for shard in self._shard_names()}
+        changed = managers != self._managers
+        self._managers = managers
+        return changed
+
+    def _manager_of_worker(self, worker: str) -> str:
+        for shard, workers in self._shard_names().items():
+            if worker in workers:
+                return self._manager_of(shard)
+        return ""
+
+    def _pick_shard(self) -> str:
+        """Return the own zone's shard with room, else the one with the most room."""
+        names = self._shard_names()
+        if len(names) <= 1:
+            return next(iter(names), "")
+        loads = self._loads()
+        zone = self._settings.zone
+
+        def room(shard: str) -> tuple[bool, bool, int]:
+            load = loads.get(shard)
+            spare = 0 if load is None else load.free_slots - load.queued
+            return spare > 0, shard.partition("/")[0] == zone, spare
+
+        return max(names, key=room)
+
+    def _send_request(self, want: Want) -> None:
+        now_ms = monotonic_ms()
+        want.shard = self._pick_shard()
+        want.asked_of = self._manager_of(want.shard)
+        want.touched_ms = now_ms
+        if not want.shard:
+            want.arrivals.put_nowait(SlotRefusal(want.request_id, "no-worker", _RESEND_MS))
+            return
+        message = SlotRequest(
+            want.request_id,
+            want.shard,
+            want.service,
+            want.member,
+            want.outstanding,
+            int(want.deadline_ms - now_ms),
+            want.job_tasks,
+        )
+        self._send(message, want.asked_of)
+
+    def _send(self, message: object, box: str) -> None:
+        if box:
+            self._network.tell(box, message)
+
+    def _on_grant(self, _sender: str, message: SlotGrant) -> None:
+        now_ms = monotonic_ms()
+        want = self._wants.get(message.request_id)
+        if want is None or want.outstanding == 0:
+            slot = Slot(message.lease_id, message.worker, "", "", now_ms, now_ms)
+            self.give_back(slot, 0.0, SlotUse.UNUSED)
+            return
+        want.outstanding -= 1
+        want.touched_ms = now_ms
+        expires_ms = now_ms + message.ttl_ms - _SAFETY_MS
+        slot = Slot(message.lease_id, message.worker, want.service, want.member, now_ms, expires_ms)
+        self._held[slot.lease_id] = slot
+        want.arrivals.put_nowait(slot)
+
+    def _on_refusal(self, _sender: str, message: SlotRefusal) -> None:
+        want = self._wants.get(message.request_id)
+        if want is None or want.outstanding == 0:
+            return
+        want.outstanding = 0
+        want.arrivals.put_nowait(message)
+
+    def _renew(self, now_ms: float) -> None:
+        by_manager: dict[str, list[HeldSlot]] = {}
+        for slot in self._held.values():
+            held = HeldSlot(
+                slot.lease_id, slot.worker, slot.service, slot.member, int(now_ms - slot.granted_ms)
+            )
+            by_manager.setdefault(self._manager_of_worker(slot.worker), []).append(held)
+        for box, leases in by_manager.items():
+            self._send(SlotHold(leases), box)
+
+
+class DirectSlots:
+    """A worker at once by a baseline policy.
+
+    Args:
+        policy: The policy.
+        candidates: Returns the usable workers of a service and their mean service times.
+        reported: Returns each worker's running tasks by its lagging report.
+    """
+
+    def __init__(
+        self,
+        policy: Policy,
+        candidates: Callable[[str], list[str]],
+        reported: Callable[[], dict[str, int]],
+    ) -> None:
+        self._policy = policy
+        self._candidates = candidates
+        self._reported = reported
+        self._local: dict[str, int] = {}
+        self._ids = itertools.count(1)
+
+    def want(self, service: str, member: str, deadline_ms: float, job_tasks: int) -> Want:
+        """Open a wish; nothing is asked yet."""
+        return Want(next(self._ids), service, member, deadline_ms, job_tasks)
+
+    def ask(self, want: Want, count: int) -> None:
+        """Pick *count* workers at once."""
+        reported = self._reported()
+        for _ in range(count):
+            names = self._candidates(want.service)
+            view = View(
+                [
+                    Candidate(
+                        name,
+                        0.0,
+                        local_count=self._local.get(name, 0),
+                        reported_count=reported.get(name, 0),
+                    )
+                    for name in names
+                ]
+            )
+            worker = choose(self._policy, view)
+            if worker is None:
+                want.arrivals.put_nowait(SlotRefusal(want.request_id, "no-worker", _RESEND_MS))
+                return
+            self._local[worker] = self._local.get(worker, 0) + 1
+            now_ms = monotonic_ms()
+            slot = Slot(0, worker, want.service, want.member, now_ms, want.deadline_ms)
+            want.arrivals.put_nowait(slot)
+
+    def close(self, want: Want) -> None:
+        """End a wish: what was picked and not used is given back."""
+        while not want.arrivals.empty():
+            arrival = want.arrivals.get_nowait()
+            if isinstance(arrival, Slot):
+                self.give_back(arrival, 0.0, SlotUse.UNUSED)
+
+    def give_back(self, slot: Slot, service_ms: float, use: SlotUse) -> None:
+        """Give a slot back."""
+        self._local[slot.worker] = self._local.get(slot.worker, 1) - 1
--- /dev/null
+++ b/src/foldloom/workers/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""The way to workers and to the platform's list."""
--- /dev/null
+++ b/src/foldloom/workers/platform.py
@@ -0,0 +1,66 @@
+# SPDX-License-Identifier: MIT
+"""The platform's lagging list of which boxes and workers are live and which are leaving."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from foldloom.logs import WORKER_LOG
+
+_TIMEOUT_S = 1.0
+
+
+class _Listed(msgspec.Struct):
+    name: str
+    state: str = "live"
+
+
+class _BoxesReply(msgspec.Struct):
+    boxes: list[_Listed] = []
+
+
+_REPLIES = msgspec.json.Decoder(_BoxesReply)
+
+
+class PlatformList:
+    """Poll ``GET /v1/boxes`` and remember who is leaving.
+
+    Args:
+        url: The platform's address; empty if there is none.
+        poll_ms: How often to ask.
+    """
+
+    def __init__(self, url: str, poll_ms: int) -> None:
+        self._url = url
+        self._poll_s = poll_ms / 1_000
+        self._leaving: frozenset[str] = frozenset()
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Names that the newest list calls leaving."""
+        return self._leaving
+
+    async def run(self) -> None:
+        """Poll until cancelled; a failed poll keeps the list before."""
+        if not self._url:
+            return
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self._poll(session)
+                await asyncio.sleep(self._poll_s)
+
+    async def _poll(self, session: aiohttp.ClientSession) -> None:
+        try:
+            async with session.get(f"{self._url}/v1/boxes") as response:
+                listed = _REPLIES.decode(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
+            WORKER_LOG.debug("No list from the platform: {}.", type(error).__name__)
+            return
+        leaving = frozenset(one.name for one in listed.boxes if one.state == "leaving")
+        if leaving != self._leaving:
+            WORKER_LOG.info("Leaving by the platform's list: {}.", ", ".join(sorted(leaving)))
+        self._leaving = leaving
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,108 @@
+# SPDX-License-Identifier: MIT
+"""The whole path: a caller's job goes in at a box, the whole answer comes back."""
+
+from __future__ import annotations
+
+import re
+import signal
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from cluster import Cluster, HttpAnswer, http
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    """Three boxes, three workers."""
+    with Cluster(tmp_path_factory.mktemp("path")) as running:
+        yield running
+
+
+class TestSubmit:
+    """Jobs of a caller."""
+
+    def test_answers_in_order(self, cluster: Cluster) -> None:
+        """A job's answers come back whole and in task order."""
+        payloads = [{"ms": ms} for ms in (60, 10, 40, 20)]
+        answer = cluster.submit("a1", "order", payloads)
+        assert answer.status == 200
+        assert answer.fields["verdict"] == "complete"
+        assert [one["echo"] for one in answer.fields["answers"]] == payloads
+
+    def test_one_log_line_a_placement(self, cluster: Cluster) -> None:
+        """Each task's placement is one log line with task, worker and lease."""
+        cluster.submit("b1", "logged", [{"ms": 1}] * 3)
+        lines = [line for line in cluster.log("b1").splitlines() if "place: Task logged/" in line]
+        assert len(lines) == 3
+        assert all(re.search(r"goes to \w+ as \S+ on lease \d+\.$", line) for line in lines)
+
+    def test_many_jobs_through_two_boxes(self, cluster: Cluster) -> None:
+        """200 jobs of 20 tasks through two boxes: every answer is whole and its own."""
+
+        def run(number: int) -> bool:
+            payloads = [{"ms": 5, "job": number, "task": task} for task in range(20)]
+            answer = cluster.submit("ab"[number % 2] + "1", f"many-{number}", payloads)
+            return [one["echo"] for one in answer.fields["answers"]] == payloads
+
+        with ThreadPoolExecutor(16) as pool:
+            assert all(pool.map(run, range(200)))
+
+    def test_get_starts_nothing(self, cluster: Cluster) -> None:
+        """GET of an unknown job says so and starts nothing; of a known one it gives the answer."""
+        unknown = http("GET", f"{cluster.url('a1')}/v1/jobs/never")
+        assert (unknown.status, unknown.fields["run"]) == (404, "not-run")
+        given = cluster.submit("a1", "known", [{"ms": 1}])
+        assert http("GET", f"{cluster.url('c1')}/v1/jobs/known").fields == given.fields
+
+    @pytest.mark.parametrize(
+        ("body", "status", "field"),
+        [
+            ({"member": "m1", "tasks": [{"payload": 1}]}, 400, "service"),
+            ({"service": "sleep", "member": "m1", "tasks": []}, 400, "tasks"),
+            ({"service": "sleep", "member": "m1", "tasks": [{}]}, 400, "tasks[0].payload"),
+            (b"{", 400, "truncated"),
+            ({"service": "nix", "member": "m1", "tasks": [{"payload": 1}]}, 404, "service"),
+            ({"service": "s", "member": "m", "tasks": [{"payload": 1}] * 2001}, 413, "tasks"),
+            (b" " * (9 * 1024 * 1024), 413, "body"),
+        ],
+    )
+    def test_bad_input(self, cluster: Cluster, body: object, status: int, field: str) -> None:
+        """Bad input is refused as not run, and the field is named."""
+        answer = http("PUT", f"{cluster.url('a1')}/v1/jobs/bad", body)
+        assert answer.status == status
+        assert answer.fields["verdict"] == "refused"
+        assert answer.fields["run"] == "not-run"
+        assert field in answer.fields["detail"]
+
+    def test_same_id_other_content(self, cluster: Cluster) -> None:
+        """The same submission with other content is 409 on every box."""
+        cluster.submit("a1", "twice", [{"ms": 1}])
+        for box in cluster.boxes:
+            answer = cluster.submit(box, "twice", [{"ms": 2}])
+            assert (answer.status, answer.fields["verdict"]) == (409, "refused")
+
+
+class TestStop:
+    """The planned stop."""
+
+    def test_sigterm_under_load_loses_none(self, tmp_path: Path) -> None:
+        """SIGTERM, also a second one, lets the jobs in flight end; new ones are refused."""
+        with Cluster(tmp_path) as cluster:
+
+            def run(number: int) -> HttpAnswer:
+                return cluster.submit("a1", f"stop-{number}", [{"ms": 400}] * 3)
+
+            with ThreadPoolExecutor(8) as pool:
+                answers = [pool.submit(run, number) for number in range(8)]
+                while cluster.log("a1").count("goes to") < 24:
+                    pass
+                cluster.signal("a1", signal.SIGTERM)
+                cluster.signal("a1", signal.SIGTERM)
+                assert all(answer.result().status == 200 for answer in answers)
+            assert cluster.processes["a1"].wait(20) == 0
+            again = cluster.submit("b1", "stop-0", [{"ms": 400}] * 3)
+            assert again.status == 200
+            assert max(cluster.starts().values()) == 1
