--- a/src/foldloom/controllers/node.py
+++ b/src/foldloom/controllers/node.py
@@ -305,8 +305,9 @@
             await self.log.save_term_vote(term, self.box)
         self._leader = ""
         CONTROLLER_LOG.info("Stand for election in term {}.", term)
-        if await self._gather_votes(term, is_trial=False) and self.log.term == term:
-            self._leader = ""
+        is_won = await self._gather_votes(term, is_trial=False)
+        # A leader of this very term may have been heard meanwhile: then this one must not lead.
+        if is_won and self.log.term == term and not self._leader:
             CONTROLLER_LOG.info("Lead in term {}.", term)
             self._metrics.count("controller.elections-won")
             self._leadership = Leadership(self)
--- a/src/foldloom/peers/membership.py
+++ b/src/foldloom/peers/membership.py
@@ -11,6 +11,8 @@
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.settings import Settings
 
+_HEIRS_KEPT = 1_000
+
 
 class ZoneLoad(NamedTuple):
     """How loaded one lease shard is.
@@ -50,7 +52,22 @@
     list_epoch: int = 0
 
 
+class Heir(NamedTuple):
+    """A stopped life of a box, and the box that holds its answers."""
+
+    box: str
+    incarnation: int
+    heir: str
+
+
+class KnownHeirs(NamedTuple):
+    """What a box that just started is told: it may be one of the stopped lives' boxes."""
+
+    heirs: list[Heir]
+
+
 register(1, Heartbeat)
+register(2, KnownHeirs)
 
 
 class PeerState(NamedTuple):
@@ -85,6 +102,7 @@
         self._states: dict[str, PeerState] = {}
         self._heirs: dict[tuple[str, int], str] = {}
         network.on(Heartbeat, self._hear)
+        network.on(KnownHeirs, self._learn_heirs)
 
     @property
     def states(self) -> dict[str, PeerState]:
@@ -128,6 +146,19 @@
 
     def _hear(self, sender: str, heartbeat: Heartbeat) -> None:
         incarnation = self._network.known_incarnation(sender)
+        before = self._states.get(sender)
+        if self._heirs and (before is None or before.incarnation < incarnation):
+            known = [Heir(box, life, heir) for (box, life), heir in self._heirs.items()]
+            self._network.tell(sender, KnownHeirs(known))
         self._states[sender] = PeerState(monotonic_ms(), incarnation, heartbeat)
         if heartbeat.heir:
-            self._heirs[sender, incarnation] = heartbeat.heir
+            self._note_heir(Heir(sender, incarnation, heartbeat.heir))
+
+    def _learn_heirs(self, _sender: str, message: KnownHeirs) -> None:
+        for heir in message.heirs:
+            self._note_heir(heir)
+
+    def _note_heir(self, heir: Heir) -> None:
+        self._heirs[heir.box, heir.incarnation] = heir.heir
+        while len(self._heirs) > _HEIRS_KEPT:
+            del self._heirs[next(iter(self._heirs))]
--- /dev/null
+++ b/tests/test_claims_faults.py
@@ -0,0 +1,332 @@
+# SPDX-License-Identifier: MIT
+"""Submissions run once, verdicts are true, answers are whole: real processes under faults.
+
+At most once is counted at the workers; "not run" is checked by no worker having seen it.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cluster import Cluster, HttpAnswer, http, wait_until
+from foldloom.claims.replicas import claim_replicas
+from proxy import FaultProxy
+
+_SHORT = {"timings": {"resubmission_window_ms": 20_000, "deadline_max_ms": 10_000}}
+
+
+class Rig:
+    """Six boxes in three zones behind a fault proxy, with a pool of callers."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start everything."""
+        self.proxy = FaultProxy()
+        self.cluster = Cluster(
+            folder, boxes_per_zone=2, overrides=_SHORT, address_of=self.proxy.address_of
+        )
+        self.pool = ThreadPoolExecutor(16)
+        self.cluster.start()
+
+    def close(self) -> None:
+        """End everything."""
+        self.cluster.end()
+        self.proxy.close()
+        self.pool.shutdown()
+
+    def send(self, box: str, submission: str, payloads: list[Any]) -> Future[HttpAnswer]:
+        """Submit in the background."""
+        return self.pool.submit(self.cluster.submit, box, submission, payloads)
+
+    def started(self, submission: str) -> list[int]:
+        """Return how often each started task of *submission* was started."""
+        starts = self.cluster.starts()
+        return [count for key, count in starts.items() if key.startswith(f"{submission}/")]
+
+    def wait_started(self, submission: str) -> None:
+        """Wait until a worker has seen the submission."""
+        wait_until(lambda: self.started(submission), f"{submission} started")
+
+    def replicas(self, submission: str) -> tuple[str, ...]:
+        """Return the submission's claim replicas."""
+        return claim_replicas(submission, {box: box[0] for box in self.cluster.boxes})
+
+    def submission_with(self, coordinator_is_replica: bool, box: str, stem: str) -> str:
+        """Return an id of which *box* is, or is not, a claim replica."""
+        names = (f"{stem}-{n}" for n in range(1000))
+        return next(
+            name for name in names if (box in self.replicas(name)) == coordinator_is_replica
+        )
+
+
+@pytest.fixture(scope="class")
+def rig(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Rig]:
+    """A rig for tests that leave it as they found it."""
+    made = Rig(tmp_path_factory.mktemp("claims"))
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def own_rig(tmp_path: Path) -> Iterator[Rig]:
+    """A rig for a test that kills boxes."""
+    made = Rig(tmp_path)
+    yield made
+    made.close()
+
+
+def _assert_truthful(answer: HttpAnswer, started: list[int]) -> None:
+    """A whole answer, or a problem; refused means that no worker saw it."""
+    if answer.status == 200:
+        return
+    assert answer.fields["verdict"] in ("failed", "refused")
+    assert answer.fields["run"] in ("not-run", "may-have-run")
+    if answer.fields["verdict"] == "refused":
+        assert answer.fields["run"] == "not-run"
+        assert not started
+
+
+class TestSameSubmissionAtOnce:
+    """One submission sent to several boxes at the same time."""
+
+    @pytest.mark.parametrize("count", [2, 3, 6])
+    def test_runs_once_and_all_get_the_answer(self, rig: Rig, count: int) -> None:
+        """Every caller gets the same whole answer and each task starts once."""
+        payloads = [{"ms": 30, "n": n} for n in range(4)]
+        for round_number in range(10):
+            submission = f"at-once-{count}-{round_number}"
+            sent = [rig.send(box, submission, payloads) for box in rig.cluster.boxes[:count]]
+            answers = [one.result() for one in sent]
+            assert [answer.status for answer in answers] == [200] * count
+            assert all(
+                [one["echo"] for one in answer.fields["answers"]] == payloads for answer in answers
+            )
+            assert rig.started(submission) == [1] * 4
+
+    def test_resent_mid_run_and_after(self, rig: Rig) -> None:
+        """A resubmission to another box, mid-run or after the end, gets the same answer."""
+        first = rig.send("a1", "mid-run", [{"ms": 500}])
+        rig.wait_started("mid-run")
+        second = rig.send("b2", "mid-run", [{"ms": 500}])
+        assert first.result().fields == second.result().fields
+        assert rig.cluster.submit("c1", "mid-run", [{"ms": 500}]).fields == first.result().fields
+        assert rig.started("mid-run") == [1]
+
+    def test_lost_answer(self, rig: Rig) -> None:
+        """A caller that leaves before the answer does not stop the job; a resend gets it."""
+        with pytest.raises(OSError, match="timed out"):
+            rig.cluster.submit("a1", "lost", [{"ms": 600}], timeout_s=0.3)
+        assert rig.cluster.submit("b1", "lost", [{"ms": 600}]).status == 200
+        assert rig.started("lost") == [1]
+
+
+class TestDelaysAndFreezes:
+    """Messages late, boxes frozen."""
+
+    def test_delayed_links(self, rig: Rig) -> None:
+        """With every link slowed by 40 ms, submissions at three boxes at once run once."""
+        rig.proxy.delay(0.04)
+        try:
+            for number in range(5):
+                submission = f"delayed-{number}"
+                sent = [rig.send(box, submission, [{"ms": 20}]) for box in ("a1", "b1", "c1")]
+                answers = [one.result() for one in sent]
+                started = rig.started(submission)
+                assert all(count == 1 for count in started)
+                for answer in answers:
+                    _assert_truthful(answer, started)
+        finally:
+            rig.proxy.delay(0.0)
+
+    def test_frozen_coordinator(self, rig: Rig) -> None:
+        """A frozen coordinator's job is not started again; awake, it starts nothing twice."""
+        submission = rig.submission_with(False, "a2", "frozen")
+        first = rig.send("a2", submission, [{"ms": 300}] * 12)
+        rig.wait_started(submission)
+        rig.cluster.signal("a2", signal.SIGSTOP)
+        try:
+            answer = rig.cluster.submit("b1", submission, [{"ms": 300}] * 12)
+            assert answer.status == 503
+            assert answer.fields["run"] == "may-have-run"
+            assert answer.fields["retry_after_ms"] > 0
+        finally:
+            rig.cluster.signal("a2", signal.SIGCONT)
+        _assert_truthful(first.result(), rig.started(submission))
+        assert max(rig.started(submission)) == 1
+        wait_until(lambda: rig.cluster.status("b1")["boxes"]["a2"]["is_live"], "a2 heard again")
+        again = rig.cluster.submit("b1", submission, [{"ms": 300}] * 12)
+        assert again.status in (200, first.result().status)
+        assert max(rig.started(submission)) == 1
+
+
+class TestCutZones:
+    """Zones cut off from each other."""
+
+    @pytest.mark.parametrize("zone", ["a", "b", "c"])
+    def test_each_zone_in_turn(self, rig: Rig, zone: str) -> None:
+        """Plain ids go on where two zones meet; tagged ids go on inside the cut-off zone."""
+        others = [other for other in rig.cluster.zones if other != zone]
+        rig.proxy.cut_zone(zone)
+        try:
+            wait_until(lambda: _sees_cut(rig, zone), "the cut is noticed")
+            majority = rig.cluster.submit(f"{others[0]}1", f"plain-{zone}", [{"ms": 10}])
+            assert majority.status == 200
+            tagged = rig.cluster.submit(f"{zone}1", f"{zone}~cut-{zone}", [{"ms": 10}])
+            assert tagged.status == 200
+            plain = rig.cluster.submit(f"{zone}1", f"plain-{zone}", [{"ms": 10}])
+            assert plain.status == 503
+            assert plain.fields["run"] == "may-have-run"
+            assert f"{zone}~" in plain.fields["detail"]
+        finally:
+            rig.proxy.heal()
+            wait_until(lambda: not _sees_cut(rig, zone), "the cut is healed")
+        assert rig.cluster.submit(f"{zone}1", f"plain-{zone}", [{"ms": 10}]).status == 200
+        assert rig.started(f"plain-{zone}") == [1]
+        assert rig.started(f"{zone}~cut-{zone}") == [1]
+
+    def test_share_served(self, rig: Rig) -> None:
+        """All zones apart: tagged ids only; a plain id is never called not-run."""
+        for zone in rig.cluster.zones:
+            rig.proxy.cut_zone(zone)
+        try:
+            wait_until(lambda: all(_sees_cut(rig, zone) for zone in "abc"), "the cuts are noticed")
+            for zone in rig.cluster.zones:
+                plain = rig.cluster.submit(f"{zone}1", "apart", [{"ms": 10}])
+                assert (plain.status, plain.fields["run"]) == (503, "may-have-run")
+                tagged = rig.cluster.submit(f"{zone}2", f"{zone}~apart", [{"ms": 10}])
+                assert tagged.status == 200
+        finally:
+            rig.proxy.heal()
+        assert rig.started("apart") == []
+        wait_until(
+            lambda: rig.cluster.submit("a1", "apart", [{"ms": 10}]).status == 200, "served again"
+        )
+
+
+def _sees_cut(rig: Rig, zone: str) -> bool:
+    """Whether a box of *zone* and one outside see each other as silent."""
+    other = "b1" if zone != "b" else "c1"
+    boxes_inside = rig.cluster.status(f"{zone}1")["boxes"]
+    boxes_outside = rig.cluster.status(other)["boxes"]
+    return not (boxes_inside[other]["is_live"] or boxes_outside[f"{zone}1"]["is_live"])
+
+
+class TestLostMemory:
+    """Boxes killed with SIGKILL: their memory is gone."""
+
+    def test_killed_coordinator(self, own_rig: Rig) -> None:
+        """A killed coordinator's job fails for good once it is back, and starts nowhere else."""
+        rig = own_rig
+        submission = rig.submission_with(True, "a1", "killed")
+        first = rig.send("a1", submission, [{"ms": 300}] * 12)
+        rig.wait_started(submission)
+        rig.cluster.kill("a1")
+        assert isinstance(first.exception(), OSError)
+        silent = rig.cluster.submit("b1", submission, [{"ms": 300}] * 12)
+        assert (silent.status, silent.fields["run"]) == (503, "may-have-run")
+        rig.cluster.start_box("a1")
+        wait_until(lambda: rig.cluster.status("b1")["boxes"]["a1"]["is_live"], "a1 is back")
+        for box in ("a1", "b1", "c2"):
+            answer = rig.cluster.submit(box, submission, [{"ms": 300}] * 12)
+            assert (answer.fields["verdict"], answer.fields["run"]) == ("failed", "may-have-run")
+        assert max(rig.started(submission)) == 1
+
+    def test_second_loss_before_recovery(self, own_rig: Rig) -> None:
+        """Two claim replicas lost, the second before the first recovered: refuse, never guess."""
+        rig = own_rig
+        submission = rig.submission_with(False, "a1", "two-lost")
+        lost = [box for box in rig.replicas(submission) if box != "a2"]
+        assert rig.cluster.submit("a1", submission, [{"ms": 10}]).status == 200
+        rig.cluster.kill("a1")
+        # The second dies while the first is down: neither can copy from the other.
+        for box in lost:
+            rig.cluster.kill(box)
+        for box in lost:
+            rig.cluster.start_box(box)
+        wait_until(lambda: http("GET", f"{rig.cluster.url(lost[0])}/readyz").status == 200, "up")
+        alive = next(box for box in rig.cluster.boxes if box not in (*lost, "a1"))
+        answer = rig.cluster.submit(alive, submission, [{"ms": 10}])
+        assert (answer.status, answer.fields["run"]) == (503, "may-have-run")
+        assert rig.started(submission) == [1]
+
+    def test_restarted_replica_votes_after_copy(self, own_rig: Rig) -> None:
+        """A replica killed and restarted empty copies its claims and then votes again."""
+        rig = own_rig
+        submission = rig.submission_with(False, "a1", "copied")
+        replica = rig.replicas(submission)[1]
+        first = rig.cluster.submit("a1", submission, [{"ms": 10}])
+        rig.cluster.kill(replica)
+        rig.cluster.start_box(replica)
+        rig.cluster.wait_ready([replica])
+        assert "First life" not in rig.cluster.log(replica).split("is up, life")[-1]
+        again = rig.cluster.submit(replica, submission, [{"ms": 10}])
+        assert again.fields == first.fields
+        assert rig.started(submission) == [1]
+
+    def test_planned_stop_hands_answers_over(self, own_rig: Rig) -> None:
+        """After a planned stop, and after the box is back, another box gives the answer."""
+        rig = own_rig
+        first = rig.cluster.submit("a1", "handed", [{"ms": 10}])
+        assert rig.cluster.stop("a1") == 0
+        assert rig.cluster.submit("b1", "handed", [{"ms": 10}]).fields == first.fields
+        rig.cluster.start_box("a1")
+        rig.cluster.wait_ready(["a1"])
+        assert rig.cluster.submit("a1", "handed", [{"ms": 10}]).fields == first.fields
+        assert rig.started("handed") == [1]
+
+
+class TestWorkerFaults:
+    """Workers that answer badly or die."""
+
+    @pytest.mark.parametrize("fault", ["cut-short", "crossed", "oversized", "error"])
+    def test_bad_answer_is_never_passed_on(self, rig: Rig, fault: str) -> None:
+        """A bad answer fails the whole job at once and the task is not started again."""
+        began = time.monotonic()
+        payloads = [{"ms": 10}, {"ms": 10, "fault": fault}, {"ms": 4_000}]
+        answer = rig.cluster.submit("a1", f"bad-{fault}", payloads)
+        assert (answer.fields["verdict"], answer.fields["run"]) == ("failed", "may-have-run")
+        assert "answers" not in answer.fields
+        assert max(rig.started(f"bad-{fault}")) == 1
+        assert time.monotonic() - began < 4.0
+
+    def test_refused_everywhere_is_not_run(self, rig: Rig) -> None:
+        """A task that every worker truly refuses makes a job that is refused as not run."""
+        answer = rig.cluster.submit("a1", "none-takes", [{"fault": "refuse"}], deadline_ms=3_000)
+        assert (answer.fields["verdict"], answer.fields["run"]) == ("refused", "not-run")
+        assert rig.started("none-takes") == []
+
+    def test_worker_killed_mid_task(self, own_rig: Rig) -> None:
+        """Not restarted by default; restarted by confirmed intent, if marked repeatable."""
+        rig = own_rig
+        restart = "after-worker-death"
+        services = [
+            {"kind": "service", "name": "once", "workers": ["aw*"]},
+            {"kind": "service", "name": "pinned", "workers": ["aw*"], "restart": restart},
+            {"kind": "service", "name": "again", "workers": ["aw*", "bw*"], "restart": restart},
+        ]
+        rig.cluster.wait_version(rig.cluster.confirm(services))
+        cases = {"once": (2, True), "pinned": (2, False), "again": (12, True)}
+        sent = {}
+        for service, (tasks, repeatable) in cases.items():
+            fields = {"service": service, "repeatable": repeatable}
+            payloads = [{"ms": 2_000}] * tasks
+            sent[service] = rig.pool.submit(
+                rig.cluster.submit, "a1", f"job-{service}", payloads, **fields
+            )
+            wait_until(lambda s=service, n=tasks: len(rig.started(f"job-{s}")) == n, "started")
+        rig.cluster.kill("workers-a")
+        answers = {service: one.result() for service, one in sent.items()}
+        assert answers["again"].status == 200
+        assert len(answers["again"].fields["answers"]) == 12
+        for service in ("once", "pinned"):
+            assert answers[service].fields["verdict"] == "failed"
+            assert answers[service].fields["run"] == "may-have-run"
+        rig.cluster.workers = [spec for spec in rig.cluster.workers if spec.zone != "a"]
+        assert rig.started("job-once") == rig.started("job-pinned") == []
+        assert max(rig.started("job-again")) == 1
