--- a/src/foldloom/claims/acquire.py
+++ b/src/foldloom/claims/acquire.py
@@ -10,6 +10,7 @@
 from foldloom.claims.messages import Claim, ClaimReply, ClaimRequest, ReleaseHeld, Vote, Withdraw
 from foldloom.claims.replicas import ReplicaSets
 from foldloom.claims.service import ClaimService
+from foldloom.claims.votes import is_won, may_still_win
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import Settings
@@ -76,7 +77,7 @@
                 box, reply = task.result()
                 if reply is not None:
                     replies[box] = reply
-            if self._is_won(replicas, replies):
+            if is_won(replicas, replies, self._network.known_incarnation):
                 _forget(asking)
                 return AcquireResult(Acquisition.WON, [], "")
             missed = any(task.result()[1] is None for task in done)
@@ -131,29 +132,12 @@
             return len(replicas.boxes)
         return len(replicas.boxes) // 2 + 1
 
-    def _is_won(self, replicas: ReplicaSets, replies: dict[str, ClaimReply]) -> bool:
-        granted = {box: reply for box, reply in replies.items() if reply.vote is Vote.GRANTED}
-        return replicas.is_majority(self._living_votes(granted))
-
-    def _living_votes(self, granted: dict[str, ClaimReply]) -> set[str]:
-        """Return the voters of whom no other voter, nor this box, knows a newer life."""
-        living = set()
-        for box, reply in granted.items():
-            newest = self._network.known_incarnation(box)
-            for other, other_reply in granted.items():
-                if other != box:
-                    newest = max(newest, other_reply.known.get(box, 0))
-            if newest <= reply.incarnation:
-                living.add(box)
-        return living
-
     def _is_lost(self, replicas: ReplicaSets, replies: dict[str, ClaimReply], asked: int) -> bool:
-        """Return whether the holders met leave no majority to win."""
-        if asked and not any(reply.vote is Vote.HELD for reply in replies.values()):
-            return False
-        refusing = {box for box, reply in replies.items() if reply.vote is not Vote.GRANTED}
-        possible = set(replicas.boxes) - refusing
-        return not replicas.is_majority(possible) or not asked
+        """Return whether nothing that may still come can win the claim."""
+        if not asked:
+            return True
+        is_held = any(reply.vote is Vote.HELD for reply in replies.values())
+        return is_held and not may_still_win(replicas, replies)
 
     def _judge_loss(self, replicas: ReplicaSets, replies: dict[str, ClaimReply]) -> AcquireResult:
         holders = list(
--- /dev/null
+++ b/src/foldloom/claims/votes.py
@@ -0,0 +1,37 @@
+# SPDX-License-Identifier: MIT
+"""How votes on a claim are counted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from foldloom.claims.messages import ClaimReply, Vote
+from foldloom.claims.replicas import ReplicaSets
+
+
+def is_won(
+    replicas: ReplicaSets, replies: dict[str, ClaimReply], known_life: Callable[[str], int]
+) -> bool:
+    """Return whether *replies* give the claim: a majority of votes that are all still alive.
+
+    A vote dies with its voter's memory: it does not count once another voter, or this box
+    (*known_life*), knows of a newer life of its voter.
+    """
+    granted = {box: reply for box, reply in replies.items() if reply.vote is Vote.GRANTED}
+    living = {
+        box
+        for box, reply in granted.items()
+        if _newest_life(box, granted, known_life) <= reply.incarnation
+    }
+    return replicas.is_majority(living)
+
+
+def may_still_win(replicas: ReplicaSets, replies: dict[str, ClaimReply]) -> bool:
+    """Return whether the replicas that did not refuse can still be a majority."""
+    refusing = {box for box, reply in replies.items() if reply.vote is not Vote.GRANTED}
+    return replicas.is_majority(set(replicas.boxes) - refusing)
+
+
+def _newest_life(box: str, granted: dict[str, ClaimReply], known_life: Callable[[str], int]) -> int:
+    told = [reply.known.get(box, 0) for other, reply in granted.items() if other != box]
+    return max(known_life(box), *told, 0)
--- a/src/foldloom/controllers/storage.py
+++ b/src/foldloom/controllers/storage.py
@@ -28,6 +28,8 @@
 _TERM = 1
 _ENTRY = 2
 _CUT = 3
+_SNAPSHOT = 4
+_IDENTITY = 5
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -96,7 +98,7 @@
         raise FileExistsError(f"{folder} is formatted already")
     identity = Identity(uuid.uuid4().hex, is_first)
     write_whole(path / "log", b"")
-    write_whole(path / "identity", _ENCODER.encode(identity))
+    write_whole(path / "identity", _record(_IDENTITY, _ENCODER.encode(identity)))
     return identity
 
 
@@ -196,7 +198,7 @@
     def save_snapshot(self, snapshot: Snapshot, term_vote: TermVote, entries: list[Entry]) -> None:
         """Replace the log by *snapshot* and the *entries* after it, durably."""
         body = _ENCODER.encode(snapshot)
-        self._replace_file("snapshot", _record(_ENTRY, body))
+        self._replace_file("snapshot", _record(_SNAPSHOT, body))
         log = _record(_TERM, _ENCODER.encode(term_vote))
         log += b"".join(_record(_ENTRY, _ENCODER.encode(entry)) for entry in entries)
         self._replace_file("log", log)
@@ -233,10 +235,10 @@
     Raises:
         LostMemoryError: The file is damaged.
     """
-    try:
-        return msgspec.msgpack.decode(path.read_bytes(), type=Identity)
-    except msgspec.DecodeError:
-        raise LostMemoryError("the identity is damaged") from None
+    record = _parse(path.read_bytes(), 0)
+    if record is None:
+        raise LostMemoryError("the identity is cut short")
+    return msgspec.msgpack.decode(record[1], type=Identity)
 
 
 def write_whole(path: Path, data: bytes, fsync: Callable[[int], None] = os.fsync) -> None:
--- a/src/foldloom/settings.py
+++ b/src/foldloom/settings.py
@@ -23,6 +23,7 @@
 
 ENTRY = "entry"
 CONTROLLER = "controller"
+POLICY_NAMES = ("slot-leases", "power-of-two", "least-local-count", "random")
 _ROLES = (ENTRY, CONTROLLER)
 
 
@@ -216,7 +217,8 @@
         unknown_roles = set(peer.roles) - set(_ROLES)
         if unknown_roles:
             raise SettingsError(path, "peers.roles", f"unknown role {min(unknown_roles)}")
-        _check_address(peer.address, path)
+        _check_address(peer.address, "peers.address", path)
+    _check_address(settings.listen, "listen", path)
     names = [peer.box for peer in settings.peers]
     if len(set(names)) != len(names):
         raise SettingsError(path, "peers", "a box is listed twice")
@@ -227,6 +229,8 @@
         raise SettingsError(path, "peers", "zone or roles of this box differ from its own entry")
     if CONTROLLER in settings.roles and not settings.data_folder:
         raise SettingsError(path, "data_folder", "is required for a controller")
+    if settings.policy not in POLICY_NAMES:
+        raise SettingsError(path, "policy", f"must be one of {', '.join(POLICY_NAMES)}")
     if settings.logs.format not in ("text", "json"):
         raise SettingsError(path, "logs.format", "must be text or json")
     if bool(settings.http.tls_certificate_file) != bool(settings.http.tls_key_file):
@@ -234,15 +238,15 @@
     _check_keys(settings, path)
 
 
-def _check_address(address: str, path: str) -> None:
+def _check_address(address: str, key: str, path: str) -> None:
     """Check that *address* is ``IP:port``."""
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        raise SettingsError(path, "peers.address", f"{address!r} is not IP:port") from None
+        raise SettingsError(path, key, f"{address!r} is not IP:port") from None
     if not port.isdigit() or not 1 <= int(port) <= 65535:
-        raise SettingsError(path, "peers.address", f"{address!r} is not IP:port")
+        raise SettingsError(path, key, f"{address!r} is not IP:port")
 
 
 def _check_keys(settings: Settings, path: str) -> None:
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,215 @@
+# SPDX-License-Identifier: MIT
+"""A controller's disk: any crash point, torn tail, flipped bit, failed sync, full disk."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import shutil
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from foldloom.controllers.log import ReplicatedLog
+from foldloom.controllers.storage import (
+    EMPTY_SNAPSHOT,
+    Entry,
+    LogStorage,
+    Snapshot,
+    TermVote,
+    format_folder,
+    set_aside,
+)
+from foldloom.exceptions import LostMemoryError
+from strategies import payloads, shares
+
+
+class Held(NamedTuple):
+    """What the log holds once its first ``size`` bytes are on disk."""
+
+    size: int
+    entries: tuple[Entry, ...]
+    term_vote: TermVote
+
+
+class StorageMachine(RuleBasedStateMachine):
+    """Drive the storage beside a list of what each written byte count means."""
+
+    def __init__(self) -> None:
+        """Make a new folder."""
+        super().__init__()
+        self.folder = Path(tempfile.mkdtemp(prefix="foldloom-storage-"))
+        self.begin()
+
+    def begin(self) -> None:
+        """Start with a new, empty folder."""
+        format_folder(str(self.folder), is_first=True)
+        self.snapshot = EMPTY_SNAPSHOT
+        self.history = [Held(0, (), TermVote(0, ""))]
+        self.is_damaged = False
+        self.open()
+
+    def open(self) -> None:
+        """Open the folder as a restarted controller does."""
+        self.storage = LogStorage(str(self.folder))
+        self.recovered = self.storage.open()
+
+    def note(self, entries: tuple[Entry, ...], term_vote: TermVote) -> None:
+        """Note what the bytes written so far mean."""
+        self.history.append(Held(self.storage.log_bytes, entries, term_vote))
+
+    @precondition(lambda self: not self.is_damaged)
+    @rule(payload=payloads)
+    def append(self, payload: bytes) -> None:
+        """Write one entry, unsynced."""
+        held = self.history[-1]
+        index = self.snapshot.last_index + len(held.entries) + 1
+        entry = Entry(index, held.term_vote.term, payload)
+        self.storage.append([entry])
+        self.note((*held.entries, entry), held.term_vote)
+
+    @precondition(lambda self: not self.is_damaged and self.history[-1].entries)
+    @rule(share=shares)
+    def cut(self, share: float) -> None:
+        """Drop a tail, unsynced."""
+        held = self.history[-1]
+        kept = held.entries[: int(len(held.entries) * share)]
+        self.storage.cut_from(held.entries[len(kept)].log_index)
+        self.note(kept, held.term_vote)
+
+    @precondition(lambda self: not self.is_damaged)
+    @rule(voted_for=st.sampled_from(["", "a1", "b1"]))
+    def vote(self, voted_for: str) -> None:
+        """Write a newer term and a vote, unsynced."""
+        held = self.history[-1]
+        term_vote = TermVote(held.term_vote.term + 1, voted_for)
+        self.storage.save_term_vote(term_vote)
+        self.note(held.entries, term_vote)
+
+    @precondition(lambda self: not self.is_damaged)
+    @rule()
+    def sync(self) -> None:
+        """Make all of it durable."""
+        self.storage.sync()
+        del self.history[:-1]
+
+    @precondition(lambda self: not self.is_damaged and self.history[-1].entries)
+    @rule(share=shares)
+    def compact(self, share: float) -> None:
+        """Replace a part of the entries by a snapshot."""
+        held = self.history[-1]
+        last = held.entries[int(len(held.entries) * share)]
+        rest = [entry for entry in held.entries if entry.log_index > last.log_index]
+        self.snapshot = Snapshot(last.log_index, last.term, b"state")
+        self.storage.save_snapshot(self.snapshot, held.term_vote, rest)
+        self.history = [Held(self.storage.log_bytes, tuple(rest), held.term_vote)]
+
+    @precondition(lambda self: not self.is_damaged)
+    @rule(share=shares, zeros=st.integers(0, 40))
+    def crash(self, share: float, zeros: int) -> None:
+        """Lose any part of what was not synced: what is whole comes back, exactly."""
+        self.storage.close()
+        durable, written = self.history[0].size, self.history[-1].size
+        kept = durable + int((written - durable) * share)
+        os.truncate(self.folder / "log", kept)
+        os.truncate(self.folder / "log", kept + zeros)
+        expected = [held for held in self.history if held.size <= kept][-1]
+        try:
+            self.open()
+        except LostMemoryError:
+            # Only a record cut in its midst and padded can't be told from damage.
+            assert zeros
+            assert kept > expected.size
+            self.is_damaged = True
+            return
+        assert self.recovered.snapshot == self.snapshot
+        assert tuple(self.recovered.entries) == expected.entries
+        assert self.recovered.term_vote == expected.term_vote
+        self.history = [expected]
+
+    @precondition(lambda self: not self.is_damaged and self.history[-1].size > 0)
+    @rule(share=shares, bit=st.integers(0, 7))
+    def flip(self, share: float, bit: int) -> None:
+        """Flip one bit of a synced log, its last record included: a clear refusal."""
+        self.sync()
+        self.storage.close()
+        log = self.folder / "log"
+        data = bytearray(log.read_bytes())
+        data[int(len(data) * share)] ^= 1 << bit
+        log.write_bytes(data)
+        self.is_damaged = True
+        with pytest.raises(LostMemoryError):
+            self.open()
+
+    @precondition(lambda self: self.is_damaged)
+    @rule()
+    def replace(self) -> None:
+        """Set the damaged folder aside, as a controller does, and begin anew."""
+        self.storage.close()
+        set_aside(str(self.folder))
+        self.begin()
+
+    def teardown(self) -> None:
+        """Remove the folder."""
+        self.storage.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+TestStorageMachine = StorageMachine.TestCase
+
+
+class TestLostFolder:
+    """Folders that must not count."""
+
+    def test_emptied(self, tmp_path: Path) -> None:
+        """An emptied folder is lost memory, not a new controller."""
+        with pytest.raises(LostMemoryError):
+            LogStorage(str(tmp_path)).open()
+
+    @pytest.mark.parametrize("name", ["identity", "log", "snapshot"])
+    def test_damaged_or_missing_part(self, tmp_path: Path, name: str) -> None:
+        """A folder of which one file is damaged is lost memory."""
+        format_folder(str(tmp_path), is_first=True)
+        storage = LogStorage(str(tmp_path))
+        storage.open()
+        storage.append([Entry(1, 1, b"x"), Entry(2, 1, b"y")])
+        storage.save_snapshot(Snapshot(1, 1, b"s"), TermVote(1, ""), [Entry(2, 1, b"y")])
+        storage.close()
+        path = tmp_path / name
+        data = path.read_bytes()
+        path.write_bytes(data[:5] + bytes([data[5] ^ 1]) + data[6:])
+        with pytest.raises(LostMemoryError):
+            LogStorage(str(tmp_path)).open()
+
+    def test_never_formatted_twice(self, tmp_path: Path) -> None:
+        """A formatted folder is not formatted again."""
+        format_folder(str(tmp_path), is_first=True)
+        with pytest.raises(FileExistsError):
+            format_folder(str(tmp_path), is_first=True)
+
+
+class TestFailedSync:
+    """A disk that can't hold what it was given."""
+
+    async def _flush(self, code: int, folder: str) -> None:
+        def fail(_fd: int) -> None:
+            raise OSError(code, os.strerror(code))
+
+        format_folder(folder, is_first=True)
+        storage = LogStorage(folder, fsync=fail)
+        log = ReplicatedLog(storage, storage.open())
+        log.add(b"x")
+        with pytest.raises(OSError, match=os.strerror(code)):
+            await log.flush()
+        assert log.durable_index == 0
+        storage.close()
+
+    @pytest.mark.parametrize("code", [errno.EIO, errno.ENOSPC])
+    def test_nothing_counts(self, tmp_path: Path, code: int) -> None:
+        """After a failed sync nothing is durable and the caller is told."""
+        asyncio.run(self._flush(code, str(tmp_path)))
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,222 @@
+# SPDX-License-Identifier: MIT
+"""Messages between boxes: strangers, doubles, late ones, other releases."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import pytest
+import zmq
+
+from cluster import Cluster, free_port, wait_until
+from foldloom.claims.messages import ClaimReply, ClaimRequest, Vote
+from foldloom.metrics import Metrics
+from foldloom.peers.membership import Heartbeat
+from foldloom.peers.messages import (
+    Envelope,
+    Frame,
+    decode_body,
+    encode_body,
+    encode_envelope,
+    kind_of,
+)
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import settings_from
+
+_BEAT = Heartbeat(1, False, True, [])
+
+
+def _raw_settings(ports: dict[str, int], box: str) -> dict[str, Any]:
+    peers = [
+        {"box": name, "zone": name[0], "roles": ["entry"], "address": f"127.0.0.1:{port}"}
+        for name, port in ports.items()
+    ]
+    return {
+        "box": box,
+        "zone": box[0],
+        "roles": ["entry"],
+        "listen": f"127.0.0.1:{ports[box]}",
+        "http": {"host": "127.0.0.1", "port": free_port()},
+        "peers": peers,
+    }
+
+
+def _envelope(sender: str, incarnation: int, message: Any, ttl_ms: int = 1_000) -> Envelope:
+    frame = Frame(kind_of(message), 1, 0, ttl_ms, encode_body(message))
+    return Envelope(sender, incarnation, int(monotonic_ms()), [frame])
+
+
+class Heard(NamedTuple):
+    """What one box heard, and its counters."""
+
+    messages: list[Any]
+    counts: dict[str, int]
+
+
+def _hear(act: Callable[[zmq.Socket[bytes]], None], expected: int) -> Heard:
+    """Run box ``a1`` of two, let *act* send to it as a raw peer, return what was heard."""
+    ports = {"a1": free_port(), "b1": free_port()}
+    heard: list[Any] = []
+
+    async def run() -> dict[str, int]:
+        metrics = Metrics()
+        network = PeerNetwork(settings_from(_raw_settings(ports, "a1")), 5, metrics)
+        network.on(Heartbeat, lambda sender, message: heard.append((sender, message)))
+        await network.start()
+        context = zmq.Context()
+        socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+        socket.connect(f"tcp://127.0.0.1:{ports['a1']}")
+        await asyncio.to_thread(act, socket)
+        deadline = time.monotonic() + 5
+        received = "bytes.received"
+        while len(heard) < expected and time.monotonic() < deadline:
+            await asyncio.sleep(0.01)
+        while received not in metrics.counts and time.monotonic() < deadline:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        counts = metrics.counts
+        context.destroy(linger=0)
+        await network.stop()
+        return counts
+
+    counts = asyncio.run(run())
+    return Heard(heard, counts)
+
+
+class TestStrangers:
+    """Messages that must change nothing."""
+
+    def test_unknown_sender_is_counted(self) -> None:
+        """A message of a box that is not in the settings is dropped and counted."""
+        data = encode_envelope(_envelope("z9", 1, _BEAT))
+        heard = _hear(lambda socket: socket.send(data), 0)
+        assert heard.messages == []
+        assert heard.counts["messages.dropped.stranger"] == 1
+
+    def test_malformed_is_counted(self) -> None:
+        """Bytes that are no envelope are dropped; the next message is heard."""
+        good = encode_envelope(_envelope("b1", 1, _BEAT))
+
+        def act(socket: zmq.Socket[bytes]) -> None:
+            socket.send(b"\xc1 nonsense")
+            socket.send(good)
+
+        heard = _hear(act, 1)
+        assert len(heard.messages) == 1
+        assert heard.counts["messages.dropped.malformed"] == 1
+
+
+class TestLateMessages:
+    """Messages that ZeroMQ kept too long."""
+
+    def test_expired_is_dropped(self) -> None:
+        """A message older than its time to live, by the receiver's clock, is dropped."""
+        first = encode_envelope(_envelope("b1", 1, _BEAT))
+        late = _envelope("b1", 1, _BEAT, ttl_ms=100)
+        late = encode_envelope(late._replace(sent_ms=late.sent_ms - 500))
+
+        def act(socket: zmq.Socket[bytes]) -> None:
+            socket.send(first)
+            socket.send(late)
+
+        heard = _hear(act, 1)
+        assert len(heard.messages) == 1
+        assert heard.counts["messages.dropped.expired"] == 1
+
+    def test_older_life_is_dropped(self) -> None:
+        """A message of an earlier life of a restarted box is dropped."""
+        datas = [encode_envelope(_envelope("b1", life, _BEAT)) for life in (7, 6)]
+
+        def act(socket: zmq.Socket[bytes]) -> None:
+            for data in datas:
+                socket.send(data)
+
+        heard = _hear(act, 1)
+        assert len(heard.messages) == 1
+        assert heard.counts["messages.dropped.old-incarnation"] == 1
+
+
+class TestOtherReleases:
+    """Messages of a release with more fields, or fewer."""
+
+    def test_more_fields(self) -> None:
+        """Fields that this release does not know are dropped."""
+        longer = msgspec.Raw(msgspec.msgpack.encode([*_BEAT, "new", 1]))
+        assert decode_body(Frame(kind_of(_BEAT), 0, 0, 0, longer)) == _BEAT
+
+    def test_fewer_fields(self) -> None:
+        """Fields that an older release does not send take their defaults."""
+        shorter = msgspec.Raw(msgspec.msgpack.encode(list(_BEAT)[:4]))
+        assert decode_body(Frame(kind_of(_BEAT), 0, 0, 0, shorter)) == _BEAT
+
+
+class TestDoubledClaims:
+    """A claim request that arrives twice, at a real daemon."""
+
+    @pytest.fixture
+    def cluster(self, tmp_path: Path) -> Iterator[Cluster]:
+        """Three boxes."""
+        with Cluster(tmp_path) as running:
+            yield running
+
+    def test_counts_once_and_crossed_reply_is_ignored(self, cluster: Cluster) -> None:
+        """Doubled claim requests and unasked replies start nothing and change no claim."""
+        incarnation = int(time.time() * 1000) + 10_000
+        request = ClaimRequest("doubled", "00" * 16, incarnation, 1, 0)
+        reply = ClaimReply(Vote.GRANTED, incarnation, {}, [])
+        context = zmq.Context()
+        socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+        socket.connect(f"tcp://127.0.0.1:{cluster._peer_ports['a1']}")
+        for message in (request, request, reply, request):
+            socket.send(encode_envelope(_envelope("b1", incarnation, message)))
+        wait_until(
+            lambda: cluster.status("a1")["metrics"].get("claims.granted", 0) >= 3, "three votes"
+        )
+        context.destroy(linger=0)
+        answer = cluster.submit("a1", "doubled", [{"ms": 1}])
+        assert answer.status in (409, 502, 503)
+        assert cluster.starts() == {}
+
+
+class TestKeys:
+    """CURVE keys between boxes."""
+
+    def test_boxes_with_keys_serve_and_strangers_get_nothing(self, tmp_path: Path) -> None:
+        """Boxes that know each other's keys serve; a socket without a key is not heard."""
+        cluster = Cluster(tmp_path)
+        keys = {box: zmq.curve_keypair() for box in cluster.boxes}
+        write = cluster.write_settings
+
+        def write_with_keys(box: str) -> Path:
+            path = write(box)
+            settings = msgspec.yaml.decode(path.read_bytes())
+            (tmp_path / f"{box}.key").write_bytes(keys[box][1])
+            settings["secret_key_file"] = str(tmp_path / f"{box}.key")
+            for peer in settings["peers"]:
+                peer["public_key"] = keys[peer["box"]][0].decode()
+            path.write_bytes(msgspec.yaml.encode(settings))
+            return path
+
+        cluster.write_settings = write_with_keys  # type: ignore[method-assign]
+        with cluster:
+            assert cluster.submit("a1", "with-keys", [{"ms": 1}] * 3).status == 200
+            before = cluster.status("a1")["metrics"].get("messages.dropped.stranger", 0)
+            context = zmq.Context()
+            socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+            socket.connect(f"tcp://127.0.0.1:{cluster._peer_ports['a1']}")
+            future = int(time.time() * 1000) + 10**9
+            beat = Heartbeat(10**6, True, True, [])
+            socket.send(encode_envelope(_envelope("b1", future, beat)))
+            time.sleep(0.5)
+            context.destroy(linger=0)
+            status = cluster.status("a1")
+            assert status["boxes"]["b1"]["version"] < 10**6
+            assert not status["boxes"]["b1"]["is_stopping"]
+            assert status["metrics"].get("messages.dropped.stranger", 0) == before
+            secret = keys["a1"][1].decode()
+            assert not any(secret in cluster.log(box) for box in cluster.boxes)
