Placement: a live estimate of waits, admission that holds, cheaper messages

Change: the reference speed is the worker at a quarter of the order; a wait is weighed against a short task, less short the more tasks the job has; slow slots go to jobs that have one already, else to the newest, once the queue is long to the oldest; counters in place of scans; deadlines no longer count against workers; the peer socket is watched by its descriptor.

--- /dev/null
+++ b/benchmarks/rig.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: MIT
+"""What the benchmarks share: scenarios, clusters, processor time and messages of boxes."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any, NamedTuple
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from cluster import Cluster  # noqa: E402
+
+_TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+MEAN_TASK_MS = 275.0
+
+
+class Scenario(NamedTuple):
+    """A size of today.
+
+    Args:
+        name: Whose.
+        boxes_per_zone: Entry boxes in each of three zones.
+        workers_per_zone: Workers in each; each third one runs at half speed.
+        slots: Slots of a worker.
+    """
+
+    name: str
+    boxes_per_zone: int = 3
+    workers_per_zone: int = 8
+    slots: int = 8
+
+    @property
+    def tasks_per_second(self) -> float:
+        """The rate that keeps every slot busy, with tasks of 50 to 500 ms."""
+        workers = 3 * self.workers_per_zone
+        slow = workers // 3
+        return (workers - slow + slow * 0.5) * self.slots / (MEAN_TASK_MS / 1_000)
+
+
+SCENARIOS = {"sahulat": Scenario("sahulat"), "kestrelwood": Scenario("kestrelwood")}
+
+
+class BoxCost(NamedTuple):
+    """What the boxes have used so far, added up.
+
+    Args:
+        cpu_s: Processor seconds, user and system.
+        rss_bytes: Resident memory of the largest box.
+        counts: Every counter, added up over the boxes.
+    """
+
+    cpu_s: float
+    rss_bytes: int
+    counts: dict[str, int]
+
+
+def make_cluster(folder: Path, scenario: Scenario, overrides: dict[str, Any]) -> Cluster:
+    """Return the scenario's cluster, not started."""
+    return Cluster(
+        folder,
+        boxes_per_zone=scenario.boxes_per_zone,
+        workers_per_zone=scenario.workers_per_zone,
+        slow_every=3,
+        overrides=overrides,
+    )
+
+
+def box_cost(cluster: Cluster, boxes: list[str] | None = None) -> BoxCost:
+    """Return what the boxes have used so far."""
+    counts: dict[str, int] = {}
+    cpu_s = 0.0
+    rss_bytes = 0
+    for box in boxes or cluster.boxes:
+        pid = cluster.processes[box].pid
+        cpu_s += cpu_seconds(pid)
+        rss_bytes = max(rss_bytes, resident_bytes(pid))
+        for name, count in cluster.status(box)["metrics"].items():
+            counts[name] = counts.get(name, 0) + count
+    return BoxCost(cpu_s, rss_bytes, counts)
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_A_SECOND
+
+
+def resident_bytes(pid: int) -> int:
+    """Return a process's resident memory."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE_BYTES
+
+
+def start_load(cluster: Cluster, **options: Any) -> subprocess.Popen[bytes]:
+    """Start ``foldloom load`` against every box; its JSON comes on standard output."""
+    options.setdefault("urls", ",".join(cluster.url(box) for box in cluster.boxes))
+    command = [sys.executable, "-m", "foldloom.cli.main", "load", "--json"]
+    command += [f"--{key}={value}" for key, value in options.items()]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, stdin=subprocess.DEVNULL)
--- a/src/foldloom/box.py
+++ b/src/foldloom/box.py
@@ -40,6 +40,7 @@
 from foldloom.workers.usage import UsageReports
 
 _FOLLOW_S = 0.1
+_MANAGERS_KEPT_MS = 50.0
 _EXPIRE_S = 5.0
 _FAREWELL_BEATS = 4
 _FAREWELL_STEP_S = 0.05
@@ -58,6 +59,8 @@
         self._is_stopping = False
         self._is_confirmed_current = False
         self._heir = ""
+        self._managers: dict[str, str] = {}
+        self._managers_ms = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         self._metrics = Metrics(settings.statsd)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
@@ -271,12 +274,19 @@
         return self._holder.config.boxes
 
     def _manager_of(self, shard: str) -> str:
-        serving = {
-            box: self._network.zone_of(box)
-            for box in self._settings.entry_names
-            if self._membership.is_serving(box)
-        }
-        return manager_of(shard, serving)
+        """Return the lease manager of *shard*; who is live is looked at anew every so often."""
+        now_ms = monotonic_ms()
+        if now_ms - self._managers_ms > _MANAGERS_KEPT_MS:
+            self._managers_ms = now_ms
+            self._managers.clear()
+        if shard not in self._managers:
+            serving = {
+                box: self._network.zone_of(box)
+                for box in self._settings.entry_names
+                if self._membership.is_serving(box)
+            }
+            self._managers[shard] = manager_of(shard, serving)
+        return self._managers[shard]
 
     def _reachable_zones(self) -> set[str]:
         live = [box for box in self._network.peer_names if self._membership.is_live(box)]
--- a/src/foldloom/cli/load.py
+++ b/src/foldloom/cli/load.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections import Counter
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -42,6 +43,7 @@
         repeatable: Whether the jobs are marked so.
         warmup_seconds: The first part of the run that is not counted.
         prefix: Begins every submission id.
+        samples: A file for every single job, a JSON list a line; none if empty.
     """
 
     urls: str = "http://127.0.0.1:8101"
@@ -57,6 +59,7 @@
     repeatable: bool = False
     warmup_seconds: float = 0.0
     prefix: str = "load"
+    samples: str = ""
 
 
 class Sample(NamedTuple):
@@ -136,7 +139,11 @@
 
 def run_load(options: LoadOptions) -> LoadReport:
     """Run the load and return its report."""
-    return uvloop.run(generate(options))
+    report = uvloop.run(generate(options))
+    if options.samples:
+        lines = b"".join(msgspec.json.encode(sample) + b"\n" for sample in report.samples)
+        Path(options.samples).write_bytes(lines)
+    return report
 
 
 async def generate(options: LoadOptions) -> LoadReport:
--- a/src/foldloom/entry/run.py
+++ b/src/foldloom/entry/run.py
@@ -26,6 +26,8 @@
 _RETRY_AFTER_MS = 500
 _RETRY_PAUSE_S = 0.01
 _SLOT_EXPIRED = "slot-expired"
+# A job's deadline says nothing of the worker: tasks overdue are judged by the lease manager.
+_NO_FAULT_OF_WORKER = (_SLOT_EXPIRED, "worker-timeout")
 _STOPS: set[asyncio.Task[None]] = set()
 
 
@@ -258,7 +260,7 @@
     """Return what an attempt's end says about its slot, and the service time."""
     if result.is_ok():
         return SlotUse.DONE, result.ok.service_ms
-    if result.error.reason == _SLOT_EXPIRED:
+    if result.error.reason in _NO_FAULT_OF_WORKER:
         return SlotUse.UNUSED, 0.0
     if result.error.run is Run.NOT_RUN:
         return SlotUse.NOT_RUN, 0.0
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -38,6 +38,7 @@
 _HIGH_WATER_MARK = 1_000
 _OUTBOX_MAX = 20_000
 _FRAMES_PER_ENVELOPE_MAX = 500
+_ENVELOPES_AT_ONCE = 50
 _ENVELOPE_MAX_BYTES = 64 * 1024 * 1024
 _HEARTBEAT_IVL_MS = 500
 _HEARTBEAT_TIMEOUT_MS = 1_500
@@ -78,7 +79,7 @@
         self._settings = settings
         self._metrics = metrics
         self._incarnation = incarnation
-        self._context = zmq.asyncio.Context()
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._peers = {peer.box: peer for peer in settings.peers if peer.box != settings.box}
         self._zone_by_box = {peer.box: peer.zone for peer in settings.peers}
         self._key_owner = {peer.public_key: peer.box for peer in settings.peers if peer.public_key}
@@ -196,9 +197,7 @@
 
     async def _send_to(self, peer: PeerSettings) -> None:
         """Send everything that collects for *peer*, one envelope at a time."""
-        # A plain socket: it never waits on a peer that can't take the message now.
-        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(self._context.underlying)
-        dealer: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+        dealer = self._context.socket(zmq.DEALER)
         for option, value in (
             (zmq.LINGER, 0),
             (zmq.SNDHWM, _HIGH_WATER_MARK),
@@ -227,6 +226,7 @@
         envelope = Envelope(self._settings.box, self._incarnation, int(monotonic_ms()), frames)
         data = encode_envelope(envelope)
         try:
+            # Never wait on a peer that can't take the message now.
             dealer.send(data, zmq.NOBLOCK)
         except zmq.ZMQError:
             self._metrics.count("messages.dropped.unsendable", len(frames))
@@ -234,10 +234,35 @@
         self._metrics.count("envelopes.sent")
         self._metrics.count("bytes.sent", len(data))
 
-    async def _receive(self, router: zmq.asyncio.Socket) -> None:
-        """Hand each arriving message to its handler."""
-        while True:
-            parts = await router.recv_multipart(copy=False)
+    async def _receive(self, router: zmq.Socket[bytes]) -> None:
+        """Hand each arriving message to its handler.
+
+        The socket is watched by its file descriptor and then emptied: that costs less for
+        each message than a future of ``zmq.asyncio`` does.
+        """
+        readable = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        descriptor = int(router.getsockopt(zmq.FD))
+        loop.add_reader(descriptor, readable.set)
+        try:
+            while True:
+                self._take_some(router)
+                if int(router.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
+                    await asyncio.sleep(0)
+                    continue
+                await readable.wait()
+                readable.clear()
+        finally:
+            loop.remove_reader(descriptor)
+            router.close()
+
+    def _take_some(self, router: zmq.Socket[bytes]) -> None:
+        """Take what has arrived, up to a bound, so that other tasks get their turn."""
+        for _ in range(_ENVELOPES_AT_ONCE):
+            try:
+                parts = router.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
             try:
                 self._accept(parts)
             except msgspec.DecodeError as error:
@@ -334,11 +359,12 @@
                     metrics.count("messages.dropped.unknown-key")
                 return known
 
-        self._authenticator = AsyncioAuthenticator(self._context)
+        context = zmq.asyncio.Context.shadow(self._context.underlying)
+        self._authenticator = AsyncioAuthenticator(context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback("*", _KnownPeers())
 
-    def _secure_server(self, socket: zmq.asyncio.Socket) -> None:
+    def _secure_server(self, socket: zmq.Socket[bytes]) -> None:
         if not self._secret_key:
             return
         socket.curve_secretkey = self._secret_key
--- a/src/foldloom/placement/policies.py
+++ b/src/foldloom/placement/policies.py
@@ -1,46 +1,47 @@
 # SPDX-License-Identifier: MIT
 """Which worker a task goes to: one function, a policy for each way.
 
-Every policy sees the same :class:`View` and returns a worker's name, or ``None`` to wait.
+Every policy sees the same :class:`View` and returns a :class:`Choice`, or ``None`` to wait.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping, Sequence
 from functools import singledispatch
 from typing import Any, NamedTuple
 
 
-class Candidate(NamedTuple):
-    """One worker that may serve a task.
+class View(NamedTuple):
+    """What a decision is made on; the maps are by worker.
 
     Args:
-        worker: Its name.
+        workers: The workers that may serve the task, the fastest first.
         mean_ms: The expected service time there.
         free_slots: Slots that no lease holds.
         busy_slots: Slots that a lease holds.
         local_count: Tasks that this box has running there.
         reported_count: Tasks running there by its lagging report.
+        queued_ahead: Tasks that wait before this one.
+        job_size: How long the job's ideal is expected to be, in mean tasks; a wait weighs
+            the more, the shorter the job.
     """
 
-    worker: str
-    mean_ms: float
-    free_slots: int = 0
-    busy_slots: int = 0
-    local_count: int = 0
-    reported_count: int = 0
-
+    workers: Sequence[str]
+    mean_ms: Mapping[str, float] = {}
+    free_slots: Mapping[str, int] = {}
+    busy_slots: Mapping[str, int] = {}
+    local_count: Mapping[str, int] = {}
+    reported_count: Mapping[str, int] = {}
+    queued_ahead: int = 0
+    job_size: float = 1.0
 
-class View(NamedTuple):
-    """What a decision is made on.
 
-    Args:
-        candidates: The workers that may serve the task.
-        queued_ahead: Tasks that wait before this one.
-    """
+class Choice(NamedTuple):
+    """A worker, and whether it is one of the fast ones."""
 
-    candidates: list[Candidate]
-    queued_ahead: int = 0
+    worker: str
+    is_fast: bool = True
 
 
 class RandomChoice(NamedTuple):
@@ -59,12 +60,13 @@
     """A free slot by least expected finish time, from leases.
 
     Args:
-        alike: Workers within this ratio of the fastest count as fast.
-        wait_bias: Above 1, waiting for a fast slot must be better by that ratio.
+        alike: Workers within this ratio of the reference count as fast.
+        reference_share: The reference is the worker at this share of the order by speed: a
+            single lucky measurement must not make all others look slow.
     """
 
-    alike: float = 1.3
-    wait_bias: float = 1.0
+    alike: float = 1.4
+    reference_share: float = 0.25
 
 
 Policy = RandomChoice | LeastLocalCount | PowerOfTwo | SlotLeases
@@ -78,59 +80,68 @@
 
 
 @singledispatch
-def choose(policy: Any, _view: View) -> str | None:
+def choose(policy: Any, _view: View) -> Choice | None:
     """Return the worker for one task under *policy*, or ``None`` to wait."""
     raise TypeError(f"no policy {type(policy).__name__}")
 
 
 @choose.register
-def _(_policy: RandomChoice, view: View) -> str | None:
-    if not view.candidates:
+def _(_policy: RandomChoice, view: View) -> Choice | None:
+    if not view.workers:
         return None
-    return random.choice(view.candidates).worker
+    return Choice(random.choice(view.workers))
 
 
 @choose.register
-def _(_policy: LeastLocalCount, view: View) -> str | None:
-    if not view.candidates:
+def _(_policy: LeastLocalCount, view: View) -> Choice | None:
+    if not view.workers:
         return None
-    fewest = min(candidate.local_count for candidate in view.candidates)
-    least = [one for one in view.candidates if one.local_count == fewest]
-    return random.choice(least).worker
+    fewest = min(view.local_count.get(worker, 0) for worker in view.workers)
+    least = [one for one in view.workers if view.local_count.get(one, 0) == fewest]
+    return Choice(random.choice(least))
 
 
 @choose.register
-def _(_policy: PowerOfTwo, view: View) -> str | None:
-    if not view.candidates:
+def _(_policy: PowerOfTwo, view: View) -> Choice | None:
+    if not view.workers:
         return None
-    pair = random.sample(view.candidates, min(2, len(view.candidates)))
-    return min(pair, key=lambda one: one.reported_count + one.local_count).worker
+    pair = random.sample(view.workers, min(2, len(view.workers)))
+    return Choice(min(pair, key=lambda one: _known_count(view, one)))
 
 
 @choose.register
-def _(policy: SlotLeases, view: View) -> str | None:
-    free = [one for one in view.candidates if one.free_slots > 0]
-    if not free:
+def _(policy: SlotLeases, view: View) -> Choice | None:
+    if not view.workers:
+        return None
+    reference = view.workers[int(len(view.workers) * policy.reference_share)]
+    reference_ms = view.mean_ms[reference]
+    fast, slow = _split(view, reference_ms * policy.alike)
+    most_free = max(fast, key=lambda one: view.free_slots[one])
+    if view.free_slots[most_free] > 0:
+        return Choice(most_free)
+    fastest_free = next((one for one in slow if view.free_slots[one] > 0), None)
+    if fastest_free is None:
         return None
-    best_ms = min(one.mean_ms for one in view.candidates)
-    fast_limit = best_ms * policy.alike
-    fast_free = [one for one in free if one.mean_ms <= fast_limit]
-    if fast_free:
-        return max(fast_free, key=lambda one: one.free_slots).worker
-    chosen = min(free, key=lambda one: one.mean_ms)
-    wait_ms = _expected_wait_ms(view, fast_limit, best_ms)
-    if chosen.mean_ms <= (wait_ms + best_ms) * policy.wait_bias:
-        return chosen.worker
+    # Busy fast slots come free at a rate of one each mean service time: the k-th comes
+    # after k means over their number.
+    busy = sum(view.busy_slots.get(one, 0) for one in fast)
+    if busy == 0:
+        return Choice(fastest_free, is_fast=False)
+    wait_ms = (view.queued_ahead + 1) * reference_ms / busy
+    ideal_ms = reference_ms * view.job_size
+    slow_ms = view.mean_ms[fastest_free] * view.job_size
+    if slow_ms <= wait_ms + ideal_ms:
+        return Choice(fastest_free, is_fast=False)
     return None
 
 
-def _expected_wait_ms(view: View, fast_limit: float, best_ms: float) -> float:
-    """Return when a fast slot is expected for the task behind ``queued_ahead`` others.
+def _split(view: View, fast_limit_ms: float) -> tuple[Sequence[str], Sequence[str]]:
+    """Return the fast workers and the slow ones; there is always a fast one."""
+    place = 1
+    while place < len(view.workers) and view.mean_ms[view.workers[place]] <= fast_limit_ms:
+        place += 1
+    return view.workers[:place], view.workers[place:]
 
-    Busy fast slots come free at a rate of one each mean service time, so the k-th comes
-    after k means over their number.
-    """
-    busy = sum(one.busy_slots for one in view.candidates if one.mean_ms <= fast_limit)
-    if busy == 0:
-        return float("inf")
-    return (view.queued_ahead + 1) * best_ms / busy
+
+def _known_count(view: View, worker: str) -> int:
+    return view.reported_count.get(worker, 0) + view.local_count.get(worker, 0)
--- a/src/foldloom/placement/shard.py
+++ b/src/foldloom/placement/shard.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -20,7 +21,7 @@
     SlotReturn,
     SlotUse,
 )
-from foldloom.placement.policies import Candidate, Policy, View, choose
+from foldloom.placement.policies import Choice, Policy, View, choose
 from foldloom.placement.shares import RoundRobin
 from foldloom.placement.speeds import SpeedTable
 from foldloom.settings import Settings
@@ -29,6 +30,11 @@
 _OVERDUE_RATIO = 6.0
 _OVERDUE_MIN_MS = 1_000
 _ADMIT_SHARE = 0.8
+_RUN_MEANS = 2.0
+_LONG_QUEUE_MEANS = 3.0
+_SHORT_SHARE = 0.03
+_SHARE_PER_DOUBLING = 0.035
+_SHARE_MAX = 0.5
 _RETRY_MIN_MS = 50
 _RETRY_MAX_MS = 10_000
 
@@ -56,12 +62,13 @@
 class Pending:
     """A request of which some tasks still wait."""
 
-    __slots__ = ("coordinator", "left", "request")
+    __slots__ = ("coordinator", "has_slow", "left", "request")
 
     def __init__(self, coordinator: str, request: SlotRequest) -> None:
         self.coordinator = coordinator
         self.request = request
         self.left = request.tasks
+        self.has_slow = False
 
 
 class Shard:
@@ -82,7 +89,14 @@
         self._workers_of: dict[str, list[str]] = {}
         self._leases: dict[int, Lease] = {}
         self._busy: dict[str, int] = {}
+        self._free: dict[str, int] = {}
+        self._views: dict[str, View] = {}
+        self._sizes: dict[str, list[float]] = {}
+        self._rates: dict[str, float] = {}
         self._running: dict[tuple[str, str], int] = {}
+        self._waiting: dict[str, dict[tuple[str, int], Pending]] = {}
+        self._queued_of: dict[str, int] = {}
+        self._queued_by: dict[str, int] = {}
         self._queues: dict[str, deque[Pending]] = {}
         self._pending: dict[tuple[str, int], Pending] = {}
         self._turns = RoundRobin(self._quota_of)
@@ -94,12 +108,12 @@
     @property
     def queued(self) -> int:
         """How many tasks wait."""
-        return sum(pending.left for pending in self._pending.values())
+        return sum(self._queued_of.values())
 
     @property
     def free_slots(self) -> int:
         """How many slots no lease holds, on workers that get work."""
-        return sum(self._free_of(worker, 0.0) for worker in self._usable)
+        return sum(self._free.values())
 
     @property
     def lease_count(self) -> int:
@@ -125,6 +139,8 @@
             service: [name for name in workers_of(config, service) if name in members]
             for service in config.services
         }
+        self._free = {worker: self._free_of(worker, 0.0) for worker in self._usable}
+        self._refresh_views()
 
     def add(self, coordinator: str, request: SlotRequest) -> SlotRefusal | None:
         """Queue *request*, or return why it is refused at once."""
@@ -136,6 +152,9 @@
             return refusal
         pending = Pending(coordinator, request)
         self._pending[key] = pending
+        self._waiting.setdefault(request.service, {})[key] = pending
+        self._queued_of[request.service] = self._queued_of.get(request.service, 0) + request.tasks
+        self._queued_by[request.member] = self._queued_by.get(request.member, 0) + request.tasks
         self._queues.setdefault(request.member, deque()).append(pending)
         self._turns.add(request.member)
         return None
@@ -216,6 +235,9 @@
         for worker, count in overdue.items():
             if count * 2 >= self._busy.get(worker, 0) and not self._health.is_ejected(worker):
                 self._eject(worker, "its tasks are overdue", now_ms)
+        for worker in self._usable:
+            self._free[worker] = self._free_of(worker, now_ms)
+        self._refresh_views()
 
     def match(self, now_ms: float) -> list[Grant]:
         """Hand out slots to whoever is next, as long as that is better than to wait."""
@@ -229,48 +251,85 @@
 
     def expected_wait_ms(self, service: str) -> float:
         """Return how long a new task of *service* is expected to wait."""
-        rate = self._rate(service)
+        rate = self._rates.get(service, 0.0)
         if rate <= 0.0:
             return float(_RETRY_MAX_MS)
         excess = self.queued - self.free_slots
         return max(0.0, excess / rate)
 
     def _match_one(self, now_ms: float) -> Grant | None:
-        ahead: dict[str, int] = {}
-        candidates: dict[str, list[Candidate]] = {}
+        """Hand out one slot; ``None`` if nobody gets one now."""
+        choices: dict[str, Choice | None] = {}
         for member in self._turns.order():
             if self._is_member_full(member):
                 continue
             for pending in self._queues[member]:
                 service = pending.request.service
-                if service not in candidates:
-                    candidates[service] = self._candidates(service, now_ms)
-                position = ahead.get(service, 0) + pending.left - 1
-                ahead[service] = position + 1
-                worker = self._choose(service, candidates[service], position)
-                if worker is not None:
-                    return self._grant(pending, worker, now_ms)
+                if service not in choices:
+                    choices[service] = self._choose(service)
+                choice = choices[service]
+                if choice is not None:
+                    taker = pending if choice.is_fast else self._taker_of_slow(service, pending)
+                    return self._grant(taker, choice, now_ms)
+                if len(choices) == len(self._waiting) and not any(choices.values()):
+                    return None
         return None
 
-    def _choose(self, service: str, candidates: list[Candidate], position: int) -> str | None:
-        if not any(one.free_slots for one in candidates) or self._is_service_full(service):
+    def _choose(self, service: str) -> Choice | None:
+        """Return the slot for the last task in the queue, which would wait longest."""
+        view = self._views.get(service)
+        if view is None or self._is_service_full(service):
             return None
-        for one in candidates:
-            if one.free_slots and self._health.is_ejected(one.worker):
-                return one.worker
-        return choose(self._policy, View(candidates, position))
-
-    def _candidates(self, service: str, now_ms: float) -> list[Candidate]:
-        return [
-            Candidate(
-                worker,
-                self._speeds.mean_ms(service, worker),
-                self._free_of(worker, now_ms),
-                self._busy.get(worker, 0),
-            )
-            for worker in self._workers_of.get(service, ())
-            if worker in self._usable
-        ]
+        for worker in self._proven:
+            if self._free.get(worker) and worker in view.workers:
+                return Choice(worker, is_fast=False)
+        newest = next(reversed(self._waiting[service].values()))
+        job_size = self._job_size(service, newest.request.job_tasks)
+        queued_ahead = self._queued_of[service] - 1
+        return choose(self._policy, view._replace(queued_ahead=queued_ahead, job_size=job_size))
+
+    def _job_size(self, service: str, job_tasks: int) -> float:
+        """Return how short a task is allowed for when a wait is weighed, in mean tasks.
+
+        A wait hurts a short lone task most, so nearly the shortest one counts; the longest
+        task of a job hides a wait, the more so the more tasks there are.
+        """
+        sizes = self._sizes.get(service)
+        if not sizes:
+            return 1.0
+        share = _SHORT_SHARE + _SHARE_PER_DOUBLING * math.log2(job_tasks)
+        return sizes[int(len(sizes) * min(share, _SHARE_MAX))]
+
+    def _taker_of_slow(self, service: str, first: Pending) -> Pending:
+        """Return which request gets a slow slot.
+
+        One that has a slow one already, as its job ends late anyway; else the newest, which
+        has waited least and would wait longest for a fast one. Once the queue is long, the
+        first: everybody waits for longer than a slow worker takes.
+        """
+        if self.expected_wait_ms(service) > _LONG_QUEUE_MEANS * self._speeds.service_mean_ms(
+            service
+        ):
+            return first
+        newest = first
+        for pending in self._waiting[service].values():
+            if self._is_member_full(pending.request.member):
+                continue
+            if pending.has_slow:
+                return pending
+            newest = pending
+        return newest
+
+    def _refresh_views(self) -> None:
+        """Order each service's workers by speed anew."""
+        for service, names in self._workers_of.items():
+            means = {
+                name: self._speeds.mean_ms(service, name) for name in names if name in self._usable
+            }
+            order = sorted(means, key=lambda one: (means[one], one))
+            self._views[service] = View(order, means, self._free, self._busy)
+            self._sizes[service] = self._speeds.sizes(service)
+            self._rates[service] = self._rate_now(service)
 
     def _free_of(self, worker: str, now_ms: float) -> int:
         """Return the free slots of *worker*; an ejected one has one if it may be probed."""
@@ -282,8 +341,9 @@
             return 1 if may_probe and not busy else 0
         return max(0, self._config.workers[worker]["slots"] - busy)
 
-    def _grant(self, pending: Pending, worker: str, now_ms: float) -> Grant:
-        request = pending.request
+    def _grant(self, pending: Pending, choice: Choice, now_ms: float) -> Grant:
+        request, worker = pending.request, choice.worker
+        pending.has_slow = pending.has_slow or not choice.is_fast
         lease_id = next(self._lease_ids)
         is_probe = self._health.is_ejected(worker)
         if is_probe:
@@ -303,6 +363,8 @@
         )
         self._turns.charge(request.member)
         pending.left -= 1
+        self._queued_of[request.service] -= 1
+        self._queued_by[request.member] -= 1
         if pending.left == 0:
             self._drop(pending)
         ttl = self._settings.timings.lease_ttl_ms
@@ -315,15 +377,14 @@
         workers = self._workers_of.get(request.service, ())
         if not any(worker in self._usable for worker in workers):
             return SlotRefusal(request.request_id, "no-worker", 1_000)
-        queue = self._queues.get(request.member, ())
-        queued_member = sum(pending.left for pending in queue)
+        queued_member = self._queued_by.get(request.member, 0)
         is_full = (
             self.queued + request.tasks > limits.queued_tasks_max
             or queued_member + request.tasks > limits.queued_tasks_per_member_max
         )
         wait_ms = self._member_wait_ms(request, queued_member)
         mean_ms = self._speeds.service_mean_ms(request.service)
-        over_ms = wait_ms + mean_ms - request.left_ms * _ADMIT_SHARE
+        over_ms = wait_ms + _RUN_MEANS * mean_ms - request.left_ms * _ADMIT_SHARE
         if not is_full and (over_ms <= 0 or wait_ms <= 0):
             return None
         retry_after = int(min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, over_ms)))
@@ -331,7 +392,7 @@
 
     def _member_wait_ms(self, request: SlotRequest, queued_member: int) -> float:
         """Return the expected wait of a request's last task, by its member's own share."""
-        rate = self._rate(request.service)
+        rate = self._rates.get(request.service, 0.0)
         if rate <= 0.0:
             return float(_RETRY_MAX_MS)
         excess = self.queued + request.tasks - self.free_slots
@@ -342,14 +403,13 @@
         own_wait = (queued_member + request.tasks) / (rate * share)
         return min(excess / rate, own_wait)
 
-    def _rate(self, service: str) -> float:
+    def _rate_now(self, service: str) -> float:
         """Return how many tasks of *service* the shard can finish a millisecond."""
-        if self._config is None:
-            return 0.0
+        assert self._config is not None
         return sum(
-            self._config.workers[worker]["slots"] / self._speeds.mean_ms(service, worker)
-            for worker in self._workers_of.get(service, ())
-            if worker in self._usable and not self._health.is_ejected(worker)
+            self._config.workers[worker]["slots"] / mean_ms
+            for worker, mean_ms in self._views[service].mean_ms.items()
+            if not self._health.is_ejected(worker)
         )
 
     def _quota_of(self, member: str) -> int:
@@ -381,14 +441,22 @@
         self._busy[lease.worker] = self._busy.get(lease.worker, 0) + by
         for key in (("member", lease.member), ("service", lease.service)):
             self._running[key] = self._running.get(key, 0) + by
+        if lease.worker in self._free:
+            self._free[lease.worker] = self._free_of(lease.worker, lease.renewed_ms)
 
     def _drop(self, pending: Pending) -> None:
-        member = pending.request.member
-        self._pending.pop((pending.coordinator, pending.request.request_id), None)
+        member, service = pending.request.member, pending.request.service
+        key = (pending.coordinator, pending.request.request_id)
+        self._pending.pop(key, None)
+        self._queued_of[service] -= pending.left
+        self._queued_by[member] -= pending.left
+        del self._waiting[service][key]
+        if not self._waiting[service]:
+            del self._waiting[service], self._queued_of[service]
         queue = self._queues[member]
         queue.remove(pending)
         if not queue:
-            del self._queues[member]
+            del self._queues[member], self._queued_by[member]
             self._turns.remove(member)
 
     def _judge_success(self, message: SlotReturn, now_ms: float) -> None:
@@ -406,15 +474,11 @@
             self._proven.add(worker)
 
     def _peer_mean_ms(self, service: str, worker: str) -> float:
-        """Return the median service time of *worker*'s peers."""
-        means = sorted(
-            self._speeds.mean_ms(service, peer)
-            for peer in self._workers_of.get(service, ())
-            if peer != worker and peer in self._usable
-        )
-        if not means:
+        """Return the median service time of the workers of *service*."""
+        view = self._views.get(service)
+        if view is None or not view.workers:
             return self._speeds.mean_ms(service, worker)
-        return means[len(means) // 2]
+        return view.mean_ms[view.workers[len(view.workers) // 2]]
 
     def _note_failure(self, worker: str, now_ms: float) -> None:
         was_ejected = self._health.is_ejected(worker)
--- a/src/foldloom/placement/slots.py
+++ b/src/foldloom/placement/slots.py
@@ -26,12 +26,12 @@
     SlotReturn,
     SlotUse,
 )
-from foldloom.placement.policies import Candidate, Policy, View, choose
+from foldloom.placement.policies import Policy, View, choose
 from foldloom.placement.shards import shard_names
 from foldloom.settings import Settings
 
 _CHECK_S = 0.1
-_RESEND_MS = 1_000
+_RESEND_MS = 3_000
 _SAFETY_MS = 100
 
 
@@ -128,6 +128,7 @@
         self._wants: dict[int, Want] = {}
         self._held: dict[int, Slot] = {}
         self._shards: tuple[int, dict[str, list[str]]] = (-1, {})
+        self._shard_of: dict[str, str] = {}
         self._managers: dict[str, str] = {}
         network.on(SlotGrant, self._on_grant)
         network.on(SlotRefusal, self._on_refusal)
@@ -185,7 +186,8 @@
                 self._renew(now_ms)
             for want in list(self._wants.values()):
                 is_stale = now_ms - want.touched_ms > _RESEND_MS
-                if want.outstanding and (is_stale or self._manager_of(want.shard) != want.asked_of):
+                is_moved = self._managers.get(want.shard) != want.asked_of
+                if want.outstanding and (is_stale or is_moved):
                     self._send_request(want)
 
     def _shard_names(self) -> dict[str, list[str]]:
@@ -193,6 +195,9 @@
         if self._shards[0] != config.version:
             names = shard_names(config, self._settings.limits.lease_shard_workers)
             self._shards = (config.version, names)
+            self._shard_of = {
+                worker: shard for shard, workers in names.items() for worker in workers
+            }
         return self._shards[1]
 
     def _note_managers(self) -> bool:
@@ -203,10 +208,9 @@
         return changed
 
     def _manager_of_worker(self, worker: str) -> str:
-        for shard, workers in self._shard_names().items():
-            if worker in workers:
-                return self._manager_of(shard)
-        return ""
+        self._shard_names()
+        shard = self._shard_of.get(worker, "")
+        return self._manager_of(shard) if shard else ""
 
     def _pick_shard(self) -> str:
         """Return the own zone's shard with room, else the one with the most room."""
@@ -307,22 +311,14 @@
         """Pick *count* workers at once."""
         reported = self._reported()
         for _ in range(count):
-            names = self._candidates(want.service)
             view = View(
-                [
-                    Candidate(
-                        name,
-                        0.0,
-                        local_count=self._local.get(name, 0),
-                        reported_count=reported.get(name, 0),
-                    )
-                    for name in names
-                ]
+                self._candidates(want.service), local_count=self._local, reported_count=reported
             )
-            worker = choose(self._policy, view)
-            if worker is None:
+            choice = choose(self._policy, view)
+            if choice is None:
                 want.arrivals.put_nowait(SlotRefusal(want.request_id, "no-worker", _RESEND_MS))
                 return
+            worker = choice.worker
             self._local[worker] = self._local.get(worker, 0) + 1
             now_ms = monotonic_ms()
             slot = Slot(0, worker, want.service, want.member, now_ms, want.deadline_ms)
--- a/src/foldloom/placement/speeds.py
+++ b/src/foldloom/placement/speeds.py
@@ -3,12 +3,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple
 
-_ALPHA = 0.06
+_ALPHA = 0.03
 _PROBE_ALPHA = 0.5
 _DEFAULT_MS = 200.0
 _SAMPLES_TO_TRUST = 6
+_SIZES_KEPT = 200
 
 
 class Speed(NamedTuple):
@@ -24,10 +26,14 @@
     def __init__(self) -> None:
         self._by_worker: dict[tuple[str, str], Speed] = {}
         self._by_service: dict[str, Speed] = {}
+        self._sizes: dict[str, deque[float]] = {}
 
     def note(self, service: str, worker: str, service_ms: float, is_probe: bool = False) -> None:
         """Take in that a task of *service* took *service_ms* on *worker*."""
         known = self._by_worker.get((service, worker))
+        if known is not None and known.samples >= _SAMPLES_TO_TRUST:
+            sizes = self._sizes.setdefault(service, deque(maxlen=_SIZES_KEPT))
+            sizes.append(service_ms / known.mean_ms)
         alpha = _PROBE_ALPHA if is_probe else _ALPHA
         self._by_worker[service, worker] = _averaged(known, service_ms, alpha)
         self._by_service[service] = _averaged(self._by_service.get(service), service_ms, _ALPHA)
@@ -47,6 +53,10 @@
             return self.service_mean_ms(service)
         return known.mean_ms
 
+    def sizes(self, service: str) -> list[float]:
+        """Return the latest tasks' sizes, in rising order; 1 is a mean task."""
+        return sorted(self._sizes.get(service, ()))
+
     def forget(self, worker: str) -> None:
         """Drop what is known of *worker*."""
         for key in [key for key in self._by_worker if key[1] == worker]:
