Controllers: the first entry founds the system; boxes and controllers come and go

Cause, found while writing the test of a joining box: a log was replayed onto the box list of the settings. Beside it: after a restart the table of controllers was the settings' one until a leader was known, so that a controller that had been taken in, or had replaced another, was counted by nobody.

Ruled out: the first list in each data folder's identity; a folder made anew after a lost disk would need it from somewhere.

Change: a first leader's first entry holds boxes and controllers and sets them on replay; at start the newest table in the own log counts until an entry of the present term is committed; a peer at version 0 is sent the whole configuration.

The new process tests were not run against the old code.

--- /dev/null
+++ b/benchmarks/bare.py
@@ -0,0 +1,87 @@
+# SPDX-License-Identifier: MIT
+"""Task starts a second a core: an entry box beside a bare aiohttp client, in the same run.
+
+Run: ``.venv/bin/python benchmarks/bare.py``. Writes ``benchmarks/bare.json``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import uvloop
+from rig import Cluster, cpu_seconds, start_load
+
+_IN_FLIGHT = 256
+_POSTS = 12_000
+_SECONDS = 6
+_TASKS = 64
+_OUT = Path(__file__).parent / "bare.json"
+
+
+async def _bare(urls: list[str]) -> dict[str, float]:
+    """Post to the workers as fast as the client can, 256 at a time."""
+    body = {"attempt": "x", "lease": 1, "service": "sleep", "member": "m1", "deadline_ms": 1000}
+    data = json.dumps({**body, "payload": {"ms": 1, "pad": "x" * 100}}).encode()
+    left = iter(range(_POSTS))
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+
+        async def post() -> None:
+            for number in left:
+                url = f"{urls[number % len(urls)]}/v1/tasks/bare/{number}"
+                async with session.post(url, data=data) as response:
+                    await response.read()
+
+        cpu, began = time.process_time(), time.monotonic()
+        await asyncio.gather(*(post() for _ in range(_IN_FLIGHT)))
+        cpu, taken = time.process_time() - cpu, time.monotonic() - began
+    return {"cpu_us_a_post": cpu / _POSTS * 1e6, "posts_per_s": _POSTS / taken}
+
+
+def main() -> None:
+    """Measure both, twice, interleaved."""
+    folder = Path(tempfile.mkdtemp(prefix="foldloom-bare-"))
+    rows: list[dict[str, Any]] = []
+    with Cluster(folder, zones="a", controllers=1, workers_per_zone=8) as cluster:
+        urls = [f"http://127.0.0.1:{spec.port}" for spec in cluster.workers]
+        pid = cluster.processes["a1"].pid
+        for round_number in range(2):
+            bare = uvloop.run(_bare(urls))
+            for rate in (300, 600):
+                load = start_load(
+                    cluster,
+                    jobs_per_second=rate / _TASKS,
+                    tasks=_TASKS,
+                    seconds=_SECONDS + 2,
+                    task_ms_min=1,
+                    task_ms_max=20,
+                    prefix=f"bare{round_number}-{rate}",
+                )
+                time.sleep(2)
+                cpu = cpu_seconds(pid)
+                before = cluster.status("a1")["metrics"]["tasks.started"]
+                time.sleep(_SECONDS - 1)
+                used = cpu_seconds(pid) - cpu
+                started = cluster.status("a1")["metrics"]["tasks.started"] - before
+                load.communicate(timeout=60)
+                ours = used / max(1, started) * 1e6
+                rows.append(
+                    {
+                        **bare,
+                        "round": round_number,
+                        "rate": rate,
+                        "cpu_us_a_task": ours,
+                        "starts_a_core_over_bare": bare["cpu_us_a_post"] / ours,
+                    }
+                )
+                print(json.dumps(rows[-1]), flush=True)
+    _OUT.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/broken.py
@@ -0,0 +1,301 @@
+# SPDX-License-Identifier: MIT
+"""Break one mechanism at a time on a scratch copy and see its test fail.
+
+Run: ``.venv/bin/python benchmarks/broken.py [NAME ...]``. Writes ``benchmarks/broken.json``
+and the table of docs/proofs.md. The tree itself is never changed.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+_ROOT = Path(__file__).parent.parent
+_RESULTS = Path(__file__).parent / "broken.json"
+_AT_ONCE = 3
+_TIMEOUT_S = 240
+
+
+class Break(NamedTuple):
+    """One mechanism taken out.
+
+    Args:
+        name: What is taken out.
+        file: Below ``src/foldloom``.
+        old: The text that stands there.
+        new: What replaces it.
+        test: The test that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+_CLAIMS = "tests/test_claims_faults.py::"
+_CONTROL = "tests/test_controllers_faults.py::"
+_PLACE = "tests/test_placement_faults.py::"
+
+BREAKS = [
+    Break(
+        "copy before voting",
+        "claims/recovery.py",
+        "return others <= self._copied_from",
+        "return True",
+        _CLAIMS + "TestLostMemory::test_second_loss_before_recovery",
+    ),
+    Break(
+        "second vote",
+        "claims/replicas.py",
+        "> len(boxes) // 2",
+        "> 0",
+        _CLAIMS + "TestSameSubmissionAtOnce::test_runs_once_and_all_get_the_answer",
+    ),
+    Break(
+        "withdrawal by the coordinator alone",
+        "entry/follow.py",
+        "return self._ended(submission, target)",
+        "return Followed(FollowEnd.RELEASED, None)",
+        _CLAIMS + "TestLostMemory::test_killed_coordinator",
+    ),
+    Break(
+        "all differing copies are kept",
+        "claims/table.py",
+        "self._put(copied.submission, [*present, fresh])",
+        "self._put(copied.submission, [fresh])",
+        "tests/test_claims_machine.py",
+    ),
+    Break(
+        "a vote dies with its voter's memory",
+        "claims/votes.py",
+        "return max(known_life(box), *told, 0)",
+        "return 0",
+        "tests/test_claims_machine.py",
+    ),
+    Break(
+        "attempt numbers",
+        "claims/table.py",
+        "and held.attempt <= attempt",
+        "",
+        "tests/test_claims_machine.py",
+    ),
+    Break(
+        "no not-run without a majority",
+        "entry/coordinator.py",
+        'return may_have_run("claim-no-quorum"',
+        'return not_run("claim-no-quorum"',
+        _CLAIMS + "TestCutZones::test_each_zone_in_turn",
+    ),
+    Break(
+        "attempt id is echoed",
+        "workers/adapter.py",
+        "if reply.attempt != attempt:",
+        "if False:",
+        _CLAIMS + "TestWorkerFaults::test_bad_answer_is_never_passed_on",
+    ),
+    Break(
+        "bounded answers",
+        "workers/adapter.py",
+        "if len(body) > most:",
+        "if False:",
+        _CLAIMS + "TestWorkerFaults::test_bad_answer_is_never_passed_on",
+    ),
+    Break(
+        "what may have run is not retried",
+        "placement/retries.py",
+        '    if service["restart"] != RESTART_AFTER_WORKER_DEATH:\n        return False\n'
+        "    return is_repeatable and problem.reason in _WORKER_DEATHS",
+        "    return True",
+        _CLAIMS + "TestWorkerFaults::test_bad_answer_is_never_passed_on",
+    ),
+    Break(
+        "jobs in flight end before a stop",
+        "box.py",
+        "await coordinator.finish_all()",
+        "pass",
+        "tests/test_path.py::TestStop::test_sigterm_under_load_loses_none",
+    ),
+    Break(
+        "answers are handed over",
+        "box.py",
+        "taken = await self._follower.hand_over(heirs[0])",
+        "taken = 0",
+        _CLAIMS + "TestLostMemory::test_planned_stop_hands_answers_over",
+    ),
+    Break(
+        "a wiped controller does not vote",
+        "controllers/node.py",
+        'expected = self.controllers.get(box, "")',
+        "return True",
+        _CONTROL + "TestLostDisks::test_second_loss_before_recovery",
+    ),
+    Break(
+        "a plan's digest is checked",
+        "controllers/state.py",
+        "if plan.digest != command.digest:",
+        "if False:",
+        _CONTROL + "TestOperators::test_race",
+    ),
+    Break(
+        "command ids are remembered",
+        "controllers/state.py",
+        "if known is not None:",
+        "if False:",
+        _CONTROL + "TestOperators::test_resent_through_another_box",
+    ),
+    Break(
+        "strict majority",
+        "controllers/node.py",
+        "return len(self.controllers) // 2 + 1",
+        "return len(self.controllers) // 2",
+        _CONTROL + "TestEvenHalves::test_two_and_two",
+    ),
+    Break(
+        "log is read back",
+        "controllers/log.py",
+        "self._entries = list(recovered.entries)",
+        "self._entries = []",
+        _CONTROL + "TestManyChanges::test_all_killed_after_500",
+    ),
+    Break(
+        "record checksums",
+        "controllers/storage.py",
+        "if xxhash.xxh3_64_intdigest(content) != checksum:",
+        "if False:",
+        "tests/test_storage.py::TestStorageMachine",
+    ),
+    Break(
+        "messages expire",
+        "peers/wire.py",
+        "if age_ms > frame.ttl_ms:",
+        "if False:",
+        "tests/test_wire.py::TestLateMessages::test_expired_is_dropped",
+    ),
+    Break(
+        "older lives are not heard",
+        "peers/wire.py",
+        "if known is not None and envelope.incarnation < known.incarnation:",
+        "if False:",
+        "tests/test_wire.py::TestLateMessages::test_older_life_is_dropped",
+    ),
+    Break(
+        "strangers are not heard",
+        "peers/wire.py",
+        "if sender not in self._peers:",
+        "if False:",
+        "tests/test_wire.py::TestStrangers::test_unknown_sender_is_counted",
+    ),
+    Break(
+        "keys between boxes",
+        "peers/wire.py",
+        'known = key.decode("ascii") in allowed',
+        "known = True",
+        "tests/test_wire.py::TestKeys",
+    ),
+    Break(
+        "turns between members",
+        "placement/shares.py",
+        "self._deficits.move_to_end(member)",
+        "pass",
+        "tests/test_placement.py::TestShares::test_flood_takes_no_more_than_its_share",
+    ),
+    Break(
+        "leaving workers are heard of",
+        "workers/platform.py",
+        'if one.state == "leaving"',
+        "if False",
+        _PLACE + "TestLeavingWorkers::test_by_platform_list",
+    ),
+    Break(
+        "drained workers get nothing",
+        "controllers/config.py",
+        'if worker["state"] == ACTIVE',
+        "if True",
+        _PLACE + "TestLeavingWorkers::test_by_confirmed_intent",
+    ),
+    Break(
+        "overdue tasks eject a worker",
+        "placement/shard.py",
+        'self._eject(worker, "its tasks are overdue", now_ms)',
+        "pass",
+        _PLACE + "TestSickWorkers::test_frozen_worker",
+    ),
+    Break(
+        "a lost lease manager is replaced",
+        "box.py",
+        "                if self._membership.is_serving(box)\n            }\n"
+        "            self._managers[shard]",
+        "            }\n            self._managers[shard]",
+        _PLACE + "TestLostManager::test_another_takes_over",
+    ),
+]
+
+
+def run_one(broken: Break) -> dict[str, object]:
+    """Break a scratch copy, run the test there, and return what came of it."""
+    copy = Path(tempfile.mkdtemp(prefix="foldloom-broken-"))
+    try:
+        for name in ("src", "tests", "examples"):
+            shutil.copytree(_ROOT / name, copy / name, ignore=shutil.ignore_patterns("*.egg-info"))
+        shutil.copy(_ROOT / "pyproject.toml", copy)
+        path = copy / "src" / "foldloom" / broken.file
+        text = path.read_text(encoding="utf-8")
+        if broken.old not in text:
+            return {**broken._asdict(), "result": "text not found"}
+        path.write_text(text.replace(broken.old, broken.new), encoding="utf-8")
+        environment = {**os.environ, "PYTHONPATH": str(copy / "src")}
+        command = [sys.executable, "-m", "pytest", "-x", "-p", "no:cacheprovider", broken.test]
+        done = subprocess.run(
+            command, cwd=copy, env=environment, capture_output=True, timeout=_TIMEOUT_S, check=False
+        )
+        lines = done.stdout.decode("utf-8", "replace").splitlines()
+        why = next((line for line in lines if line.startswith("E  ")), "")
+        result = {0: "passed", 1: "failed"}.get(done.returncode, f"exit {done.returncode}")
+        return {**broken._asdict(), "result": result, "why": why[1:].strip()[:160]}
+    except subprocess.TimeoutExpired:
+        return {**broken._asdict(), "result": f"no end within {_TIMEOUT_S} s", "why": ""}
+    finally:
+        shutil.rmtree(copy, ignore_errors=True)
+
+
+def main() -> None:
+    """Run the breaks named, or all, and write the results."""
+    chosen = [one for one in BREAKS if not sys.argv[1:] or one.name in sys.argv[1:]]
+    known = json.loads(_RESULTS.read_text()) if _RESULTS.exists() and sys.argv[1:] else []
+    results = {one["name"]: one for one in known}
+    with ThreadPoolExecutor(_AT_ONCE) as pool:
+        for result in pool.map(run_one, chosen):
+            results[str(result["name"])] = result
+            print(f"{result['result']:>10}  {result['name']}  {result.get('why', '')}", flush=True)
+    order = [results[one.name] for one in BREAKS if one.name in results]
+    _RESULTS.write_text(json.dumps(order, indent=1) + "\n", encoding="utf-8")
+    write_table(order)
+
+
+def write_table(results: list[dict[str, object]]) -> None:
+    """Write the table into docs/proofs.md."""
+    page = _ROOT / "docs" / "proofs.md"
+    begin, end = "<!-- broken: begin; written by benchmarks/broken.py -->", "<!-- broken: end -->"
+    text = page.read_text(encoding="utf-8")
+    lines = ["| taken out | test | result with it taken out | how it fails |", "|---|---|---|---|"]
+    for one in results:
+        test = str(one["test"]).removeprefix("tests/")
+        why = str(one.get("why", "")).replace("|", "\\|")
+        lines.append(f"| {one['name']} | `{test}` | {one['result']} | {why} |")
+    before, after = text.partition(begin)[0], text.partition(end)[2]
+    page.write_text(
+        f"{before}{begin}\n\n" + "\n".join(lines) + f"\n\n{end}{after}", encoding="utf-8"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/confirm.py
@@ -0,0 +1,96 @@
+# SPDX-License-Identifier: MIT
+"""Time confirms, their spread over nine boxes, restarts and catch-up after a cut.
+
+Run: ``.venv/bin/python benchmarks/confirm.py``. Real fsync, and 5 ms added to each sync.
+Writes ``benchmarks/confirm.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from rig import Cluster, cpu_seconds
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from cluster import wait_until  # noqa: E402
+from proxy import FaultProxy  # noqa: E402
+
+_CHANGES = 500
+_OUT = Path(__file__).parent / "confirm.json"
+
+
+def _confirm(cluster: Cluster, box: str, number: int) -> tuple[float, int]:
+    """Return a confirm's milliseconds (the plan not counted) and its version."""
+    intents = [{"kind": "member", "name": "m1", "quota": 1000 + number}]
+    digest = cluster.plan(box, intents).fields["digest"]
+    began = time.monotonic()
+    answer = cluster.confirm_plan(box, digest, f"bench-{number}", intents)
+    assert answer.status == 200, answer
+    return (time.monotonic() - began) * 1_000, answer.fields["version"]
+
+
+def _seconds_until(cluster: Cluster, version: int, boxes: list[str]) -> float:
+    began = time.monotonic()
+    cluster.wait_version(version, boxes)
+    return time.monotonic() - began
+
+
+def main() -> None:
+    """Measure."""
+    proxy = FaultProxy()
+    folder = Path(tempfile.mkdtemp(prefix="foldloom-confirm-"))
+    overrides = {"timings": {"sync_delay_ms": 5}}
+    figures: dict[str, Any] = {}
+    with Cluster(
+        folder, boxes_per_zone=3, overrides=overrides, address_of=proxy.address_of
+    ) as cluster:
+        leader = next(
+            b for b in cluster.controllers if cluster.status(b)["controller"]["leader"] == b
+        )
+        pid = cluster.processes[leader].pid
+        cpu = cpu_seconds(pid)
+        began = time.monotonic()
+        times, spreads, version = [], [], 0
+        for number in range(_CHANGES):
+            taken, version = _confirm(cluster, cluster.boxes[number % 9], number)
+            times.append(taken)
+            if number % 25 == 0:
+                spreads.append(_seconds_until(cluster, version, cluster.boxes))
+        figures["confirm_ms_p50"] = statistics.median(times)
+        figures["confirm_ms_p99"] = statistics.quantiles(times, n=100)[98]
+        figures["in_force_on_9_boxes_s_max"] = max(spreads)
+        figures["leader_cpu_s_a_change"] = (cpu_seconds(pid) - cpu) / _CHANGES
+        figures["changes_a_second"] = _CHANGES / (time.monotonic() - began)
+        controller = cluster.status(leader)["controller"]
+        figures["bytes_written_a_change"] = controller["bytes_written"] / _CHANGES
+        proxy.cut_zone("c")
+        wait_until(lambda: not cluster.status("a1")["boxes"]["c2"]["is_live"], "cut")
+        _, version = _confirm(cluster, "a1" if leader[0] != "c" else "b1", 10_000)
+        time.sleep(3)
+        proxy.heal()
+        figures["catch_up_after_heal_s"] = _seconds_until(cluster, version, ["c1", "c2", "c3"])
+        for box in cluster.boxes:
+            cluster.kill(box)
+        began = time.monotonic()
+        for box in cluster.boxes:
+            cluster.start_box(box)
+        cluster.wait_version(version)
+        figures["restart_of_all_s"] = time.monotonic() - began
+        current = [
+            line for line in cluster.log(leader).splitlines() if "is current, known after" in line
+        ]
+        figures["leader_box_after_restart"] = current[-1].partition("config: ")[2]
+    proxy.close()
+    _OUT.write_text(json.dumps(figures, indent=1) + "\n", encoding="utf-8")
+    print(json.dumps(figures, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,127 @@
+# SPDX-License-Identifier: MIT
+"""What a fault costs under load: jobs failed, delay, time until it is steady again.
+
+Run: ``.venv/bin/python benchmarks/faults.py [NAME ...]``. 60% of the slots, lone tasks, nine
+boxes; the fault comes at 5 s and goes at 9 s. Writes ``benchmarks/faults.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from rig import SCENARIOS, Cluster, start_load
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from proxy import FaultProxy  # noqa: E402
+
+_FAULT_S = 5.0
+_HEAL_S = 9.0
+_SECONDS = 16
+_OUT = Path(__file__).parent / "faults.json"
+
+Act = Callable[[Cluster, FaultProxy], None]
+
+
+def _manager(cluster: Cluster) -> str:
+    return next(box for box in cluster.boxes if "leases.fleet" in cluster.status(box)["gauges"])
+
+
+def _drain(cluster: Cluster, _proxy: FaultProxy) -> None:
+    cluster.confirm([{"kind": "worker-leaving", "name": "aw1"}])
+
+
+def _nothing(_cluster: Cluster, _proxy: FaultProxy) -> None:
+    return
+
+
+FAULTS: dict[str, tuple[Act, Act]] = {
+    "none": (_nothing, _nothing),
+    "workers of a zone killed": (lambda c, _p: c.kill("workers-a"), _nothing),
+    "workers of a zone frozen": (
+        lambda c, _p: c.signal("workers-a", signal.SIGSTOP),
+        lambda c, _p: c.signal("workers-a", signal.SIGCONT),
+    ),
+    "a worker ten times slower": (
+        lambda c, _p: c.control_worker("aw1", speed=0.1),
+        lambda c, _p: c.control_worker("aw1", speed=1.0),
+    ),
+    "a worker drained": (_drain, _nothing),
+    "lease manager killed": (lambda c, _p: c.kill(_manager(c)), _nothing),
+    "zone cut and healed": (lambda _c, p: p.cut_zone("a"), lambda _c, p: p.heal()),
+}
+
+
+def run(name: str) -> dict[str, Any]:
+    """Run one fault and return its figures."""
+    act, heal = FAULTS[name]
+    proxy = FaultProxy()
+    folder = Path(tempfile.mkdtemp(prefix="foldloom-faults-"))
+    scenario = SCENARIOS["sahulat"]
+    try:
+        with Cluster(
+            folder,
+            boxes_per_zone=3,
+            workers_per_zone=8,
+            slow_every=3,
+            address_of=proxy.address_of,
+        ) as cluster:
+            file = folder / "samples"
+            load = start_load(
+                cluster,
+                jobs_per_second=scenario.tasks_per_second * 0.6,
+                seconds=_SECONDS,
+                deadline_ms=5_000,
+                samples=file,
+            )
+            time.sleep(_FAULT_S + 1)
+            act(cluster, proxy)
+            time.sleep(_HEAL_S - _FAULT_S)
+            heal(cluster, proxy)
+            load.communicate(timeout=120)
+            samples = [json.loads(line) for line in file.read_text().splitlines()]
+            most = max(cluster.starts().values())
+    finally:
+        proxy.close()
+    return {"fault": name, **_figures(samples), "starts_of_a_task_max": most}
+
+
+def _figures(samples: list[Any]) -> dict[str, Any]:
+    by_second: dict[int, list[float]] = {}
+    for due, taken, ideal, outcome, _member, _whole in samples:
+        if outcome == "complete":
+            by_second.setdefault(int(due), []).append(taken - ideal)
+    p99 = {
+        second: sorted(extra)[int(len(extra) * 0.99)] for second, extra in sorted(by_second.items())
+    }
+    usual = max((p99[second] for second in p99 if 1 <= second < _FAULT_S), default=0.0)
+    late = [second for second in p99 if second >= _FAULT_S and p99[second] > 2 * usual + 50]
+    bad = [one[0] for one in samples if one[3] != "complete"]
+    last_bad = max([*late, *bad], default=_FAULT_S)
+    return {
+        "outcomes": dict(Counter(one[3] for one in samples)),
+        "extra_ms_p99_before": round(usual, 1),
+        "extra_ms_p99_worst_second": round(max(p99.values()), 1),
+        "steady_after_s": round(max(0.0, last_bad + 1 - _FAULT_S), 1),
+    }
+
+
+def main() -> None:
+    """Run the faults named, or all."""
+    rows = []
+    for name in sys.argv[1:] or FAULTS:
+        rows.append(run(name))
+        print(json.dumps(rows[-1]), flush=True)
+    _OUT.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foldloom/controllers/holder.py
+++ b/src/foldloom/controllers/holder.py
@@ -96,7 +96,8 @@
     def _on_pull(self, _sender: str, message: ConfigPull) -> ConfigReply:
         missing = [known for known in self._change_sets if known.version > message.have]
         is_whole = len(missing) == self._config.version - message.have
-        if missing and is_whole:
+        # Version 0 comes from a box's own settings: there is nothing to build changes on.
+        if missing and is_whole and message.have:
             return ConfigReply(missing, b"")
         return ConfigReply([], encode_config(self._config))
 
--- a/src/foldloom/controllers/leadership.py
+++ b/src/foldloom/controllers/leadership.py
@@ -72,8 +72,8 @@
         return dict(self._followers)
 
     def start(self) -> None:
-        """Begin the term with a no-op and start the tasks."""
-        self._node.log.add(b"")
+        """Begin the term with an entry of its own and start the tasks."""
+        self._node.log.add(self._node.first_payload())
         self._tasks["flush"] = asyncio.create_task(self._flush())
         self._tasks["watch"] = asyncio.create_task(self._watch())
         self._dirty.set()
--- a/src/foldloom/controllers/node.py
+++ b/src/foldloom/controllers/node.py
@@ -27,7 +27,12 @@
     RequestVote,
     VoteReply,
 )
-from foldloom.controllers.state import Answer, ReplicatedState
+from foldloom.controllers.state import (
+    Answer,
+    FoundCommand,
+    ReplicatedState,
+    encode_command,
+)
 from foldloom.controllers.storage import LogStorage, Snapshot, format_folder, set_aside
 from foldloom.exceptions import LostMemoryError, NotLeaderError, PeerUnreachableError
 from foldloom.logs import CONTROLLER_LOG
@@ -79,7 +84,10 @@
         self._metrics = metrics
         self._on_config = on_config
         self._storage, self.log = open_storage(settings)
+        self._initial = initial
         self._state = ReplicatedState(initial)
+        self._start_index = self.log.last_index
+        self._start_controllers = self._controllers_of_log()
         self._commit_index = 0
         self._applied_index = 0
         self._leader = ""
@@ -124,7 +132,13 @@
 
     @property
     def controllers(self) -> dict[str, str]:
-        """The controllers of the configuration and their data folders' ids."""
+        """The controllers of the configuration and their data folders' ids.
+
+        After a start nothing is known to be committed yet: until a leader has shown what
+        is, the newest table in the own log counts, as in Raft.
+        """
+        if self._start_index:
+            return self._start_controllers
         return self._state.config.controllers
 
     @property
@@ -232,12 +246,21 @@
             self._applied_index = entry.log_index
             if self._leadership is not None:
                 self._leadership.resolve(entry.log_index, answer)
+        if self.log.term_at(self._commit_index) == self.log.term:
+            self._start_index = 0
         if self._state.config.version != version:
             self._adopt()
         if self.log.entry_count > _SNAPSHOT_ENTRIES and not self._is_compacting:
             self._is_compacting = True
             self._spawn(self._compact())
 
+    def first_payload(self) -> bytes:
+        """Return what a leader begins its term with: nothing, unless the system is new."""
+        if self._state.is_founded or self.log.last_index:
+            return b""
+        boxes = self._initial.boxes["current"]
+        return encode_command(FoundCommand(boxes, self._initial.controllers))
+
     async def propose(self, payload: bytes) -> Answer:
         """Commit *payload* if this controller leads, and return its answer.
 
@@ -274,6 +297,15 @@
                 self.step_down()
         self._on_config(config)
 
+    def _controllers_of_log(self) -> dict[str, str]:
+        """Return the controllers after every entry of the own log, committed or not."""
+        state = ReplicatedState(self._initial)
+        if self.log.snapshot.last_index:
+            state.load(self.log.snapshot.state)
+        for entry in self.log.entries_from(self.log.snapshot.last_index + 1, self.log.entry_count):
+            state.apply(entry.payload)
+        return state.config.controllers
+
     def _load_snapshot(self, snapshot: Snapshot) -> None:
         if snapshot.last_index <= self._applied_index:
             return
--- a/src/foldloom/controllers/state.py
+++ b/src/foldloom/controllers/state.py
@@ -20,6 +20,7 @@
     Config,
     apply_changes,
     decode_config,
+    empty_config,
     encode_config,
 )
 from foldloom.controllers.plans import Plan, make_plan, parse_intents
@@ -56,7 +57,19 @@
     epoch: int
 
 
-Command = ConfirmCommand | IncarnationCommand | VoterReadyCommand | BoxesSettledCommand
+class FoundCommand(msgspec.Struct, tag="found", array_like=True, frozen=True):
+    """Write down the boxes and controllers that the system began with.
+
+    Settings change when boxes come; what a log is replayed onto must not.
+    """
+
+    boxes: dict[str, str]
+    controllers: dict[str, str]
+
+
+Command = (
+    ConfirmCommand | IncarnationCommand | VoterReadyCommand | BoxesSettledCommand | FoundCommand
+)
 
 _COMMANDS = msgspec.msgpack.Decoder(Command)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -94,6 +107,7 @@
     commands: list[tuple[str, str, Answer]]
     incarnations: dict[str, tuple[int, int]]
     change_sets: list[ChangeSet]
+    is_founded: bool
 
 
 _SAVED = msgspec.msgpack.Decoder(_Saved)
@@ -121,6 +135,12 @@
         self._answers: dict[str, tuple[str, Answer]] = {}
         self._incarnations: dict[str, tuple[int, int]] = {}
         self._change_sets: list[ChangeSet] = []
+        self._is_founded = False
+
+    @property
+    def is_founded(self) -> bool:
+        """Whether the first boxes and controllers are written down."""
+        return self._is_founded
 
     @property
     def config(self) -> Config:
@@ -148,7 +168,13 @@
     def dump(self) -> bytes:
         """Return the whole state for a snapshot."""
         commands = [(name, digest, answer) for name, (digest, answer) in self._answers.items()]
-        saved = _Saved(encode_config(self._config), commands, self._incarnations, self._change_sets)
+        saved = _Saved(
+            encode_config(self._config),
+            commands,
+            self._incarnations,
+            self._change_sets,
+            self._is_founded,
+        )
         return _ENCODER.encode(saved)
 
     def load(self, data: bytes) -> None:
@@ -158,6 +184,16 @@
         self._answers = {name: (digest, answer) for name, digest, answer in saved.commands}
         self._incarnations = dict(saved.incarnations)
         self._change_sets = list(saved.change_sets)
+        self._is_founded = saved.is_founded
+
+    def found(self, command: FoundCommand) -> Answer:
+        """Take the first boxes and controllers; a second time changes nothing."""
+        if not self._is_founded:
+            self._is_founded = True
+            first = empty_config(command.boxes, command.controllers)
+            self._config = first._replace(version=1)
+            self._change_sets.clear()
+        return Answer(200, self._config.version)
 
     def confirm(self, command: ConfirmCommand) -> Answer:
         """Apply a confirm; a command id answered before gets the same answer again."""
@@ -247,3 +283,8 @@
 @_apply.register
 def _(command: BoxesSettledCommand, state: ReplicatedState) -> Answer:
     return state.settle_boxes(command)
+
+
+@_apply.register
+def _(command: FoundCommand, state: ReplicatedState) -> Answer:
+    return state.found(command)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -207,6 +207,13 @@
         path.write_text(yaml.safe_dump(settings))
         return path
 
+    def add_box(self, box: str) -> None:
+        """Write the settings of a box that was not there at the start; it is not started."""
+        self.boxes.append(box)
+        self._peer_ports[box] = free_port()
+        self.http_ports[box] = free_port()
+        self.write_settings(box)
+
     def format_data(self, box: str) -> None:
         """Make the data folder of a controller of a new system."""
         self.cli("init-data", str(self.folder / f"{box}.yaml"))
--- a/tests/test_controllers_faults.py
+++ b/tests/test_controllers_faults.py
@@ -322,3 +322,60 @@
             rig.cluster.wait_version(later, ["c3"])
         finally:
             rig.close()
+
+
+class TestReplacedBoxes:
+    """Boxes and controllers that come and go."""
+
+    def test_box_joins_through_a_joint_list(self, tmp_path: Path) -> None:
+        """A joining box takes part once every box knows and a retention time has passed."""
+        overrides = {"timings": {"resubmission_window_ms": 2_000, "deadline_max_ms": 2_000}}
+        cluster = Cluster(tmp_path, overrides=overrides)
+        with cluster:
+            assert cluster.submit("a1", "before", [{"ms": 1}]).status == 200
+            cluster.add_box("a2")
+            for box in ("a1", "b1", "c1"):
+                cluster.stop(box)
+                cluster.write_settings(box)
+                cluster.start_box(box)
+                cluster.wait_ready([box])
+            listed = cluster.status("a1")["box_list"]
+            assert "a2" not in listed["current"]
+            cluster.start_box("a2")
+            cluster.confirm([{"kind": "box-joining", "name": "a2", "zone": "a"}])
+            joint = cluster.status("a1")["box_list"]
+            assert (joint["epoch"], sorted(joint["next"])) == (1, ["a1", "a2", "b1", "c1"])
+            assert cluster.submit("b1", "during", [{"ms": 1}]).status == 200
+            wait_until(lambda: cluster.status("b1")["box_list"]["epoch"] == 2, "settled")
+            assert "a2" in cluster.status("b1")["box_list"]["current"]
+            wait_until(
+                lambda: cluster.submit("a2", "after", [{"ms": 1}]).status == 200, "a2 serves"
+            )
+            assert max(cluster.starts().values()) == 1
+
+    def test_controller_replaced(self, tmp_path: Path) -> None:
+        """A new controller takes an old one's place, is taken in and then counts."""
+        rig = Rig(tmp_path, boxes_per_zone=2, controllers=3)
+        try:
+            cluster = rig.cluster
+            old = next(box for box in cluster.controllers if box != rig.leader())
+            new = f"{old[0]}2"
+            cluster.stop(old)
+            cluster.controllers[cluster.controllers.index(old)] = new
+            for box in cluster.boxes:
+                if box not in (old, new):
+                    cluster.stop(box)
+                cluster.write_settings(box)
+            cluster.stop(new)
+            for box in cluster.boxes:
+                cluster.start_box(box)
+            intents = [{"kind": "controller-replace", "old": old, "new": new}]
+            cluster.confirm(intents, [box for box in cluster.controllers if box != new])
+            wait_until(lambda: cluster.status(new)["controller"]["may_vote"], "taken in", 40)
+            gone = next(box for box in cluster.controllers if box not in (new, rig.leader()))
+            cluster.kill(gone)
+            left = [box for box in cluster.controllers if box != gone]
+            version = rig.set_quota(95, left)
+            cluster.wait_version(version, left)
+        finally:
+            rig.close()
