--- a/src/foldloom/box.py
+++ b/src/foldloom/box.py
@@ -232,6 +232,7 @@
             policy,
             self._manager_of,
             self._proves_life,
+            self._membership.is_live,
         )
         self._spawn(self._leases.run())
         self._leased_slots = LeasedSlots(
--- /dev/null
+++ b/src/foldloom/controllers/election.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: MIT
+"""How a controller comes to lead, and how it votes for others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from foldloom.controllers.messages import RequestVote, VoteReply
+from foldloom.logs import CONTROLLER_LOG
+
+if TYPE_CHECKING:
+    from foldloom.controllers.node import ControllerNode
+
+
+class Elections:
+    """The elections of one controller.
+
+    Args:
+        node: The controller.
+    """
+
+    def __init__(self, node: ControllerNode) -> None:
+        self._node = node
+        node.network.on(RequestVote, self._on_request_vote)
+
+    async def stand(self) -> None:
+        """Ask for trial votes, then for real ones; lead if a majority gives them."""
+        if not await self._gather_votes(self._node.log.term + 1, is_trial=True):
+            return
+        async with self._node.turn:
+            if self._node.leader_silent_ms < self._node.election_timeout_ms:
+                return
+            term = self._node.log.term + 1
+            await self._node.log.save_term_vote(term, self._node.box)
+        self._node.forget_leader()
+        CONTROLLER_LOG.info("Stand for election in term {}.", term)
+        is_won = await self._gather_votes(term, is_trial=False)
+        # A leader of this very term may have been heard meanwhile: then this one must not lead.
+        if is_won and self._node.log.term == term and not self._node.leader:
+            CONTROLLER_LOG.info("Lead in term {}.", term)
+            self._node.lead()
+
+    async def _gather_votes(self, term: int, is_trial: bool) -> bool:
+        request = RequestVote(term, self._node.log.last_index, self._node.log.last_term, is_trial)
+        others = [box for box in self._node.controllers if box != self._node.box]
+        votes = 1
+        if votes >= self._node.majority:
+            return True
+        asked = [
+            self._node.network.ask(box, request, self._node.election_timeout_ms / 2)
+            for box in others
+        ]
+        for box, reply in zip(others, await _settled(asked), strict=True):
+            if reply is None:
+                continue
+            if reply.term > term:
+                self._node.notice_term(reply.term)
+                return False
+            if reply.is_granted and self._node.is_counted(box, reply.storage_id, reply.is_first):
+                votes += 1
+        return votes >= self._node.majority
+
+    async def _on_request_vote(self, sender: str, request: RequestVote) -> VoteReply | None:
+        async with self._node.turn:
+            if self._node.is_failed:
+                return None
+            try:
+                is_granted = await self._judge_vote(sender, request)
+            except OSError as error:
+                self._node.fail(error)
+                return None
+            return VoteReply(
+                self._node.log.term, is_granted, self._node.storage_id, self._node.is_first
+            )
+
+    async def _judge_vote(self, sender: str, request: RequestVote) -> bool:
+        """Return whether *sender* gets the vote; a real vote is durable by then."""
+        silent_ms = self._node.leader_silent_ms
+        if self._node.is_leading or silent_ms < self._node.election_timeout_ms:
+            return False
+        is_recent = (request.last_term, request.last_index) >= (
+            self._node.log.last_term,
+            self._node.log.last_index,
+        )
+        if not self._node.may_vote or request.term < self._node.log.term or not is_recent:
+            return False
+        if request.is_trial:
+            return request.term > self._node.log.term
+        voted_for = self._node.log.voted_for if request.term == self._node.log.term else ""
+        if voted_for not in ("", sender):
+            return False
+        await self._node.log.save_term_vote(request.term, sender)
+        self._node.hear_leader()
+        return True
+
+
+async def _settled(asked: Sequence[Awaitable[Any]]) -> list[Any]:
+    """Await all of *asked*; ``None`` for those that did not answer."""
+    replies = await asyncio.gather(*asked, return_exceptions=True)
+    return [None if isinstance(reply, BaseException) else reply for reply in replies]
--- a/src/foldloom/placement/lease_manager.py
+++ b/src/foldloom/placement/lease_manager.py
@@ -41,6 +41,7 @@
         policy: How a slot is chosen.
         manager_of: Returns the lease manager of a shard, as this box sees it.
         proves_life: Asks a worker for a sign of life.
+        is_live: Returns whether a box is heard.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         policy: Policy,
         manager_of: Callable[[str], str],
         proves_life: Callable[[str], Awaitable[bool]],
+        is_live: Callable[[str], bool],
     ) -> None:
         self._settings = settings
         self._network = network
@@ -58,6 +60,7 @@
         self._policy = policy
         self._manager_of = manager_of
         self._proves_life = proves_life
+        self._is_live = is_live
         self._shards: dict[str, Shard] = {}
         self._settled_ms: dict[str, float] = {}
         self._shard_of_worker: dict[str, str] = {}
@@ -109,6 +112,7 @@
             now_ms = monotonic_ms()
             for name, shard in list(self._shards.items()):
                 shard.tick(now_ms)
+                shard.drop_lost(self._is_live)
                 for worker in shard.to_prove(now_ms):
                     shard.note_dead(worker, now_ms)
                     self._spawn(self._prove(shard, worker))
--- /dev/null
+++ b/src/foldloom/placement/queue.py
@@ -0,0 +1,139 @@
+# SPDX-License-Identifier: MIT
+"""The requests that wait at a lease manager, by member and by service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from foldloom.placement.messages import SlotRequest
+from foldloom.placement.shares import RoundRobin
+
+Key = tuple[str, int]
+
+
+class Pending:
+    """A request of which some tasks still wait.
+
+    Args:
+        coordinator: Who asked.
+        request: What for.
+    """
+
+    __slots__ = ("coordinator", "has_slow", "left", "request")
+
+    def __init__(self, coordinator: str, request: SlotRequest) -> None:
+        self.coordinator = coordinator
+        self.request = request
+        self.left = request.tasks
+        self.has_slow = False
+
+    @property
+    def key(self) -> Key:
+        """The coordinator and its number for the request."""
+        return self.coordinator, self.request.request_id
+
+
+class RequestQueue:
+    """Requests in order of arrival, members in order of their turns.
+
+    Args:
+        quota_of: Returns a member's weight.
+    """
+
+    def __init__(self, quota_of: Callable[[str], int]) -> None:
+        self._pending: dict[Key, Pending] = {}
+        self._by_member: dict[str, dict[Key, Pending]] = {}
+        self._by_service: dict[str, dict[Key, Pending]] = {}
+        self._tasks_of_member: dict[str, int] = {}
+        self._tasks_of_service: dict[str, int] = {}
+        self._turns = RoundRobin(quota_of)
+
+    def __bool__(self) -> bool:
+        """Return whether any request waits."""
+        return bool(self._pending)
+
+    def __contains__(self, key: Key) -> bool:
+        """Return whether the request *key* waits."""
+        return key in self._pending
+
+    @property
+    def tasks(self) -> int:
+        """How many tasks wait."""
+        return sum(self._tasks_of_service.values())
+
+    @property
+    def members(self) -> set[str]:
+        """The members with requests."""
+        return set(self._by_member)
+
+    @property
+    def service_count(self) -> int:
+        """How many services have requests."""
+        return len(self._by_service)
+
+    @property
+    def coordinators(self) -> set[str]:
+        """The boxes with requests."""
+        return {coordinator for coordinator, _ in self._pending}
+
+    def tasks_of_member(self, member: str) -> int:
+        """Return how many tasks of *member* wait."""
+        return self._tasks_of_member.get(member, 0)
+
+    def tasks_of_service(self, service: str) -> int:
+        """Return how many tasks of *service* wait."""
+        return self._tasks_of_service.get(service, 0)
+
+    def in_turn(self) -> Iterator[Pending]:
+        """Yield every request: the member's whose turn it is first, its oldest first."""
+        for member in self._turns.order():
+            yield from self._by_member[member].values()
+
+    def of_service(self, service: str) -> Iterator[Pending]:
+        """Yield the requests of *service*, the oldest first."""
+        yield from self._by_service.get(service, {}).values()
+
+    def newest_of(self, service: str) -> Pending:
+        """Return the newest request of *service*, which has one."""
+        return next(reversed(self._by_service[service].values()))
+
+    def add(self, pending: Pending) -> None:
+        """Queue a request."""
+        member, service = pending.request.member, pending.request.service
+        self._pending[pending.key] = pending
+        self._by_member.setdefault(member, {})[pending.key] = pending
+        self._by_service.setdefault(service, {})[pending.key] = pending
+        self._count(pending, pending.left)
+        self._turns.add(member)
+
+    def take_one(self, pending: Pending) -> None:
+        """Note that one task of a request got its slot; charge it to the member."""
+        self._turns.charge(pending.request.member)
+        pending.left -= 1
+        self._count(pending, -1)
+        if pending.left == 0:
+            self.drop(pending.key)
+
+    def drop(self, key: Key) -> None:
+        """Forget a request, if it waits."""
+        pending = self._pending.pop(key, None)
+        if pending is None:
+            return
+        member, service = pending.request.member, pending.request.service
+        self._count(pending, -pending.left)
+        del self._by_member[member][key], self._by_service[service][key]
+        if not self._by_service[service]:
+            del self._by_service[service], self._tasks_of_service[service]
+        if not self._by_member[member]:
+            del self._by_member[member], self._tasks_of_member[member]
+            self._turns.remove(member)
+
+    def drop_all_of(self, coordinator: str) -> None:
+        """Forget every request of a box that is gone."""
+        for key in [key for key in self._pending if key[0] == coordinator]:
+            self.drop(key)
+
+    def _count(self, pending: Pending, by: int) -> None:
+        member, service = pending.request.member, pending.request.service
+        self._tasks_of_member[member] = self._tasks_of_member.get(member, 0) + by
+        self._tasks_of_service[service] = self._tasks_of_service.get(service, 0) + by
--- a/src/foldloom/placement/shard.py
+++ b/src/foldloom/placement/shard.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from foldloom.controllers.config import Config, workers_of
@@ -22,7 +21,7 @@
     SlotUse,
 )
 from foldloom.placement.policies import Choice, Policy, View, choose
-from foldloom.placement.shares import RoundRobin
+from foldloom.placement.queue import Pending, RequestQueue
 from foldloom.placement.speeds import SpeedTable
 from foldloom.settings import Settings
 
@@ -49,7 +48,6 @@
     coordinator: str
     since_ms: float
     renewed_ms: float
-    is_probe: bool
 
 
 class Grant(NamedTuple):
@@ -59,18 +57,6 @@
     message: SlotGrant
 
 
-class Pending:
-    """A request of which some tasks still wait."""
-
-    __slots__ = ("coordinator", "has_slow", "left", "request")
-
-    def __init__(self, coordinator: str, request: SlotRequest) -> None:
-        self.coordinator = coordinator
-        self.request = request
-        self.left = request.tasks
-        self.has_slow = False
-
-
 class Shard:
     """The workers of one shard.
 
@@ -94,12 +80,7 @@
         self._sizes: dict[str, list[float]] = {}
         self._rates: dict[str, float] = {}
         self._running: dict[tuple[str, str], int] = {}
-        self._waiting: dict[str, dict[tuple[str, int], Pending]] = {}
-        self._queued_of: dict[str, int] = {}
-        self._queued_by: dict[str, int] = {}
-        self._queues: dict[str, deque[Pending]] = {}
-        self._pending: dict[tuple[str, int], Pending] = {}
-        self._turns = RoundRobin(self._quota_of)
+        self._queue = RequestQueue(self._quota_of)
         self._speeds = SpeedTable()
         self._health = Health(settings.timings.ejection_ms, settings.limits.ejected_share_max)
         self._proven: set[str] = set()
@@ -108,7 +89,7 @@
     @property
     def queued(self) -> int:
         """How many tasks wait."""
-        return sum(self._queued_of.values())
+        return self._queue.tasks
 
     @property
     def free_slots(self) -> int:
@@ -144,31 +125,22 @@
 
     def add(self, coordinator: str, request: SlotRequest) -> SlotRefusal | None:
         """Queue *request*, or return why it is refused at once."""
-        key = (coordinator, request.request_id)
-        if key in self._pending:
+        if (coordinator, request.request_id) in self._queue:
             return None
         refusal = self._judge(request)
-        if refusal is not None:
-            return refusal
-        pending = Pending(coordinator, request)
-        self._pending[key] = pending
-        self._waiting.setdefault(request.service, {})[key] = pending
-        self._queued_of[request.service] = self._queued_of.get(request.service, 0) + request.tasks
-        self._queued_by[request.member] = self._queued_by.get(request.member, 0) + request.tasks
-        self._queues.setdefault(request.member, deque()).append(pending)
-        self._turns.add(request.member)
-        return None
+        if refusal is None:
+            self._queue.add(Pending(coordinator, request))
+        return refusal
 
     def cancel(self, coordinator: str, request_id: int) -> None:
         """Drop a request."""
-        pending = self._pending.get((coordinator, request_id))
-        if pending is not None:
-            self._drop(pending)
+        self._queue.drop((coordinator, request_id))
 
-    def cancel_all_of(self, coordinator: str) -> None:
-        """Drop every request of a coordinator that is gone."""
-        for key in [key for key in self._pending if key[0] == coordinator]:
-            self._drop(self._pending[key])
+    def drop_lost(self, is_live: Callable[[str], bool]) -> None:
+        """Drop the requests of coordinators that are gone."""
+        for coordinator in self._queue.coordinators:
+            if not is_live(coordinator):
+                self._queue.drop_all_of(coordinator)
 
     def hold(self, coordinator: str, held: HeldSlot, now_ms: float) -> None:
         """Renew a lease, or learn of one that an earlier lease manager made."""
@@ -186,7 +158,6 @@
                 coordinator,
                 since,
                 now_ms,
-                False,
             )
         )
 
@@ -242,7 +213,7 @@
     def match(self, now_ms: float) -> list[Grant]:
         """Hand out slots to whoever is next, as long as that is better than to wait."""
         grants: list[Grant] = []
-        while self._pending:
+        while self._queue:
             grant = self._match_one(now_ms)
             if grant is None:
                 break
@@ -260,19 +231,18 @@
     def _match_one(self, now_ms: float) -> Grant | None:
         """Hand out one slot; ``None`` if nobody gets one now."""
         choices: dict[str, Choice | None] = {}
-        for member in self._turns.order():
-            if self._is_member_full(member):
+        for pending in self._queue.in_turn():
+            if self._is_member_full(pending.request.member):
                 continue
-            for pending in self._queues[member]:
-                service = pending.request.service
-                if service not in choices:
-                    choices[service] = self._choose(service)
-                choice = choices[service]
-                if choice is not None:
-                    taker = pending if choice.is_fast else self._taker_of_slow(service, pending)
-                    return self._grant(taker, choice, now_ms)
-                if len(choices) == len(self._waiting) and not any(choices.values()):
-                    return None
+            service = pending.request.service
+            if service not in choices:
+                choices[service] = self._choose(service)
+            choice = choices[service]
+            if choice is not None:
+                taker = pending if choice.is_fast else self._taker_of_slow(service, pending)
+                return self._grant(taker, choice, now_ms)
+            if len(choices) == self._queue.service_count and not any(choices.values()):
+                return None
         return None
 
     def _choose(self, service: str) -> Choice | None:
@@ -283,9 +253,9 @@
         for worker in self._proven:
             if self._free.get(worker) and worker in view.workers:
                 return Choice(worker, is_fast=False)
-        newest = next(reversed(self._waiting[service].values()))
+        newest = self._queue.newest_of(service)
         job_size = self._job_size(service, newest.request.job_tasks)
-        queued_ahead = self._queued_of[service] - 1
+        queued_ahead = self._queue.tasks_of_service(service) - 1
         return choose(self._policy, view._replace(queued_ahead=queued_ahead, job_size=job_size))
 
     def _job_size(self, service: str, job_tasks: int) -> float:
@@ -312,7 +282,7 @@
         ):
             return first
         newest = first
-        for pending in self._waiting[service].values():
+        for pending in self._queue.of_service(service):
             if self._is_member_full(pending.request.member):
                 continue
             if pending.has_slow:
@@ -345,8 +315,7 @@
         request, worker = pending.request, choice.worker
         pending.has_slow = pending.has_slow or not choice.is_fast
         lease_id = next(self._lease_ids)
-        is_probe = self._health.is_ejected(worker)
-        if is_probe:
+        if self._health.is_ejected(worker):
             self._proven.discard(worker)
             self._events.append(f"Probe {worker} with one task.")
         self._lend(
@@ -358,15 +327,9 @@
                 pending.coordinator,
                 now_ms,
                 now_ms,
-                is_probe,
             )
         )
-        self._turns.charge(request.member)
-        pending.left -= 1
-        self._queued_of[request.service] -= 1
-        self._queued_by[request.member] -= 1
-        if pending.left == 0:
-            self._drop(pending)
+        self._queue.take_one(pending)
         ttl = self._settings.timings.lease_ttl_ms
         message = SlotGrant(request.request_id, worker, lease_id, ttl)
         return Grant(pending.coordinator, message)
@@ -377,7 +340,7 @@
         workers = self._workers_of.get(request.service, ())
         if not any(worker in self._usable for worker in workers):
             return SlotRefusal(request.request_id, "no-worker", 1_000)
-        queued_member = self._queued_by.get(request.member, 0)
+        queued_member = self._queue.tasks_of_member(request.member)
         is_full = (
             self.queued + request.tasks > limits.queued_tasks_max
             or queued_member + request.tasks > limits.queued_tasks_per_member_max
@@ -398,7 +361,7 @@
         excess = self.queued + request.tasks - self.free_slots
         if excess <= 0:
             return 0.0
-        backlogged = {*self._queues, request.member}
+        backlogged = self._queue.members | {request.member}
         share = self._quota_of(request.member) / sum(map(self._quota_of, backlogged))
         own_wait = (queued_member + request.tasks) / (rate * share)
         return min(excess / rate, own_wait)
@@ -444,21 +407,6 @@
         if lease.worker in self._free:
             self._free[lease.worker] = self._free_of(lease.worker, lease.renewed_ms)
 
-    def _drop(self, pending: Pending) -> None:
-        member, service = pending.request.member, pending.request.service
-        key = (pending.coordinator, pending.request.request_id)
-        self._pending.pop(key, None)
-        self._queued_of[service] -= pending.left
-        self._queued_by[member] -= pending.left
-        del self._waiting[service][key]
-        if not self._waiting[service]:
-            del self._waiting[service], self._queued_of[service]
-        queue = self._queues[member]
-        queue.remove(pending)
-        if not queue:
-            del self._queues[member], self._queued_by[member]
-            self._turns.remove(member)
-
     def _judge_success(self, message: SlotReturn, now_ms: float) -> None:
         """Eject a worker that is far slower than its peers; take one back that is not."""
         worker = message.worker
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,99 @@
+# SPDX-License-Identifier: MIT
+"""Decisions about claims, one at a time: votes, withdrawals, copies, counting."""
+
+from __future__ import annotations
+
+from foldloom.claims.messages import Claim, ClaimReply, CopiedClaim, Vote
+from foldloom.claims.replicas import ReplicaSets
+from foldloom.claims.table import ClaimTable
+from foldloom.claims.votes import is_won, may_still_win
+
+_DIGEST = "ab" * 16
+_X = Claim(_DIGEST, "x1", 1, 1)
+_Y = Claim(_DIGEST, "y1", 1, 1)
+_SETS = ReplicaSets(0, (("a1", "b1", "c1"),))
+
+
+def _table(claims_max: int = 10) -> ClaimTable:
+    return ClaimTable(1_000, claims_max)
+
+
+def _vote(life: int, known: dict[str, int], vote: Vote = Vote.GRANTED) -> ClaimReply:
+    return ClaimReply(vote, life, known, [])
+
+
+class TestClaimTable:
+    """One replica's memory."""
+
+    def test_first_claim_is_granted_and_held(self) -> None:
+        """The first claim gets the vote, again when asked again; another one does not."""
+        table = _table()
+        assert table.judge("s", _X, 0).vote is Vote.GRANTED
+        assert table.judge("s", _X, 0).vote is Vote.GRANTED
+        other = table.judge("s", _Y, 0)
+        assert (other.vote, other.holders) == (Vote.HELD, [_X])
+
+    def test_differing_copies_are_all_kept(self) -> None:
+        """Of two copies that differ neither gets the vote until one is withdrawn."""
+        table = _table()
+        for claim in (_X, _Y):
+            table.merge(CopiedClaim("s", claim, 900), 0)
+        assert table.judge("s", _X, 0).vote is Vote.HELD
+        assert table.judge("s", _Y, 0).vote is Vote.HELD
+        table.release("s", _Y, 0)
+        assert table.judge("s", _X, 0).vote is Vote.GRANTED
+
+    def test_late_withdrawal_leaves_the_newer_attempt(self) -> None:
+        """A withdrawal of an earlier attempt takes nothing of a later one."""
+        table = _table()
+        newer = _X._replace(attempt=2)
+        table.judge("s", newer, 0)
+        table.release("s", _X, 0)
+        assert table.holders("s") == [newer]
+        assert table.judge("s", _Y, 0).vote is Vote.HELD
+
+    def test_request_after_its_own_withdrawal(self) -> None:
+        """A claim request that arrives after its withdrawal is not granted."""
+        table = _table()
+        table.release("s", _X, 0)
+        assert table.judge("s", _X, 0).vote is Vote.WITHDRAWN
+        assert table.judge("s", _X._replace(attempt=2), 0).vote is Vote.GRANTED
+
+    def test_copy_of_a_withdrawn_claim_is_not_taken(self) -> None:
+        """A copy does not bring back a claim whose withdrawal was heard."""
+        table = _table()
+        table.release("s", _X, 0)
+        table.merge(CopiedClaim("s", _X, 900), 0)
+        assert table.holders("s") == []
+
+    def test_expiry_and_bound(self) -> None:
+        """Claims go after the retention time and never before; over the bound none is taken."""
+        table = _table(claims_max=1)
+        table.judge("s", _X, 0)
+        assert table.judge("t", _X, 0).vote is Vote.FULL
+        assert table.expire(999) == 0
+        assert table.expire(1_000) == 1
+        assert table.judge("t", _X, 1_000).vote is Vote.GRANTED
+
+
+class TestVotes:
+    """Counting."""
+
+    def test_majority(self) -> None:
+        """Two of three votes win; one does not."""
+        votes = {"a1": _vote(1, {}), "b1": _vote(1, {})}
+        assert is_won(_SETS, votes, lambda _box: 0)
+        assert not is_won(_SETS, {"a1": votes["a1"]}, lambda _box: 0)
+
+    def test_vote_dies_with_its_voters_memory(self) -> None:
+        """A vote does not count once another voter, or this box, knows a newer life of it."""
+        votes = {"a1": _vote(1, {"b1": 1}), "b1": _vote(1, {"a1": 2})}
+        assert not is_won(_SETS, votes, lambda _box: 0)
+        fresh = {"a1": _vote(1, {}), "b1": _vote(1, {})}
+        assert not is_won(_SETS, fresh, {"a1": 2, "b1": 0}.__getitem__)
+
+    def test_may_still_win(self) -> None:
+        """With two refusals nothing can be won any more."""
+        refused = _vote(1, {}, Vote.HELD)
+        assert may_still_win(_SETS, {"a1": refused})
+        assert not may_still_win(_SETS, {"a1": refused, "b1": refused})
--- a/tests/test_controllers_faults.py
+++ b/tests/test_controllers_faults.py
@@ -295,6 +295,11 @@
             time.sleep(0.3)
         rig.cluster.wait_version(version)
         assert {rig.quota(box) for box in rig.cluster.boxes} == {1499}
+        # The controllers' own state, not only what each box had in force:
+        digest = _digest_of(rig, 1499, before=1498)
+        resent = rig.cluster.confirm_plan("a1", digest, "change-499", _quota(1499))
+        assert resent.fields == {"version": version}
+        assert rig.set_quota(2000) == version + 1
         log_bytes = rig.cluster.status(leader)["controller"]["log_bytes"]
         assert log_bytes < 500_000
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -206,12 +206,16 @@
         with cluster:
             assert cluster.submit("a1", "with-keys", [{"ms": 1}] * 3).status == 200
             before = cluster.status("a1")["metrics"].get("messages.dropped.stranger", 0)
-            context = zmq.Context()
-            socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
-            socket.connect(f"tcp://127.0.0.1:{cluster._peer_ports['a1']}")
             future = int(time.time() * 1000) + 10**9
             beat = Heartbeat(10**6, True, True, [])
-            socket.send(encode_envelope(_envelope("b1", future, beat)))
+            context = zmq.Context()
+            for stranger in (None, zmq.curve_keypair()):
+                socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+                if stranger is not None:
+                    socket.curve_publickey, socket.curve_secretkey = stranger
+                    socket.curve_serverkey = keys["a1"][0]
+                socket.connect(f"tcp://127.0.0.1:{cluster._peer_ports['a1']}")
+                socket.send(encode_envelope(_envelope("b1", future, beat)))
             time.sleep(0.5)
             context.destroy(linger=0)
             status = cluster.status("a1")
