--- a/src/foldloom/controllers/holder.py
+++ b/src/foldloom/controllers/holder.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -35,7 +35,6 @@
         self._config = initial
         self._cache = Path(cache_folder) / _CACHE_NAME if cache_folder else None
         self._change_sets: list[ChangeSet] = []
-        self._listeners: list[Callable[[Config], None]] = []
         self._is_pulling = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._read_cache()
@@ -46,19 +45,17 @@
         """The configuration in force."""
         return self._config
 
-    def on_change(self, listener: Callable[[Config], None]) -> None:
-        """Call *listener* with each newer configuration."""
-        self._listeners.append(listener)
-
-    def adopt(self, config: Config) -> None:
-        """Put *config* in force if it is newer."""
+    def adopt(self, config: Config, change_sets: Sequence[ChangeSet] = ()) -> None:
+        """Put *config* in force if it is newer; *change_sets* lead to it, as far as known."""
         if config.version <= self._config.version:
             return
+        if not change_sets or change_sets[0].version != self._config.version + 1:
+            self._change_sets.clear()
+        self._change_sets.extend(change_sets)
+        del self._change_sets[:-CHANGES_KEPT]
         self._config = config
         CONFIG_LOG.info("Version {} is in force.", config.version)
         self._write_cache()
-        for listener in self._listeners:
-            listener(config)
 
     def hear_version(self, box: str, version: int) -> None:
         """Pull from *box* if it has a newer version in force."""
@@ -78,7 +75,6 @@
         finally:
             self._is_pulling = False
         if reply.config:
-            self._change_sets.clear()
             self.adopt(decode_config(reply.config))
             return
         if have != self._config.version:
@@ -86,12 +82,7 @@
         config = self._config
         for change_set in reply.change_sets:
             config = apply_changes(config, change_set.changes, change_set.version)
-        self._remember(reply.change_sets)
-        self.adopt(config)
-
-    def _remember(self, change_sets: list[ChangeSet]) -> None:
-        self._change_sets.extend(change_sets)
-        del self._change_sets[:-CHANGES_KEPT]
+        self.adopt(config, reply.change_sets)
 
     def _on_pull(self, _sender: str, message: ConfigPull) -> ConfigReply:
         missing = [known for known in self._change_sets if known.version > message.have]
--- a/src/foldloom/controllers/node.py
+++ b/src/foldloom/controllers/node.py
@@ -28,6 +28,7 @@
 )
 from foldloom.controllers.state import (
     Answer,
+    ChangeSet,
     FoundCommand,
     ReplicatedState,
     encode_command,
@@ -66,7 +67,7 @@
         network: The peers.
         metrics: Counters.
         initial: The configuration at version 0.
-        on_config: Called with each newer confirmed configuration.
+        on_config: Called with each newer confirmed configuration and what led to it.
     """
 
     def __init__(
@@ -75,7 +76,7 @@
         network: PeerNetwork,
         metrics: Metrics,
         initial: Config,
-        on_config: Callable[[Config], None],
+        on_config: Callable[[Config, list[ChangeSet]], None],
     ) -> None:
         self.network = network
         self.box = settings.box
@@ -273,7 +274,7 @@
         if self.log.term_at(self._commit_index) == self.log.term:
             self._start_index = 0
         if self._state.config.version != version:
-            self._adopt()
+            self._adopt(version)
         if self.log.entry_count > _SNAPSHOT_ENTRIES and not self._is_compacting:
             self._is_compacting = True
             self._spawn(self._compact())
@@ -312,14 +313,14 @@
         await self._leadership.barrier()
         return self._state.config.version
 
-    def _adopt(self) -> None:
+    def _adopt(self, version_before: int) -> None:
         config = self._state.config
         if self._leadership is not None:
             if self.box in config.controllers:
                 self._leadership.follow_config()
             else:
                 self.step_down()
-        self._on_config(config)
+        self._on_config(config, self._state.changes_since(version_before))
 
     def _controllers_of_log(self) -> dict[str, str]:
         """Return the controllers after every entry of the own log, committed or not."""
@@ -336,7 +337,7 @@
         self._state.load(snapshot.state)
         self._applied_index = snapshot.last_index
         self._commit_index = max(self._commit_index, snapshot.last_index)
-        self._on_config(self._state.config)
+        self._on_config(self._state.config, [])
 
     async def _compact(self) -> None:
         index = self._applied_index
--- a/src/foldloom/controllers/state.py
+++ b/src/foldloom/controllers/state.py
@@ -147,17 +147,12 @@
         """The configuration in force."""
         return self._config
 
-    @property
-    def command_count(self) -> int:
-        """How many commands' answers are kept."""
-        return len(self._answers)
-
-    def changes_since(self, version: int) -> list[ChangeSet] | None:
-        """Return the change sets after *version*, or ``None`` if they are kept no longer."""
+    def changes_since(self, version: int) -> list[ChangeSet]:
+        """Return the change sets after *version*; none if they are kept no longer."""
         missing = self._config.version - version
-        if missing > len(self._change_sets) or missing < 0:
-            return None
-        return self._change_sets[len(self._change_sets) - missing :]
+        if not 0 < missing <= len(self._change_sets):
+            return []
+        return self._change_sets[-missing:]
 
     def apply(self, payload: bytes) -> Answer:
         """Apply one committed entry and return what it came to."""
--- a/src/foldloom/entry/coordinator.py
+++ b/src/foldloom/entry/coordinator.py
@@ -27,7 +27,7 @@
 from foldloom.metrics import Metrics
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.settings import Settings
-from foldloom.verdicts import Problem, may_have_run, not_run
+from foldloom.verdicts import Problem, Verdict, may_have_run, not_run
 
 _CLAIM_TRIES = 4
 _BACKOFF_MIN_S = 0.002
@@ -201,7 +201,7 @@
         run = JobRun(self._context, job.submission, request, deadline_ms)
         result = await run.execute()
         if result.is_error():
-            if result.error.verdict.value == "refused":
+            if result.error.verdict is Verdict.REFUSED:
                 self._withdraw(job, result.error)
                 return
             ENTRY_LOG.info("Job {} failed: {}.", job.submission, result.error.reason)
--- a/src/foldloom/entry/jobs.py
+++ b/src/foldloom/entry/jobs.py
@@ -154,11 +154,6 @@
         """How many jobs run on this box now."""
         return self._running
 
-    @property
-    def open_count(self) -> int:
-        """How many jobs have no response yet."""
-        return sum(1 for job in self._jobs.values() if job.is_open)
-
     def get(self, submission: str) -> Job | None:
         """Return the job of *submission*, or ``None``."""
         return self._jobs.get(submission)
--- a/src/foldloom/entry/requests.py
+++ b/src/foldloom/entry/requests.py
@@ -14,7 +14,8 @@
 from foldloom.settings import Settings
 from foldloom.verdicts import Problem, not_run
 
-_NAME = Meta(min_length=1, max_length=128)
+# No control characters: names go into log lines.
+_NAME = Meta(min_length=1, max_length=128, pattern=r"^[^\x00-\x1f\x7f]*$")
 _MISSING = re.compile(r"Object missing required field `(.+?)`")
 
 
--- a/src/foldloom/entry/run.py
+++ b/src/foldloom/entry/run.py
@@ -183,12 +183,12 @@
             return Error(not_run(_SLOT_EXPIRED))
         attempt = f"{context.attempt_prefix}-{next(context.attempt_numbers)}"
         call = TaskCall(
-            attempt,
-            slot.lease_id,
-            self._request.service,
-            self._request.member,
-            int(left_ms),
-            self._request.payloads[index],
+            attempt=attempt,
+            lease=slot.lease_id,
+            service=self._request.service,
+            member=self._request.member,
+            deadline_ms=int(left_ms),
+            payload=self._request.payloads[index],
         )
         PLACE_LOG.info(
             "Task {}/{} goes to {} as {} on lease {}.",
--- a/src/foldloom/placement/shard.py
+++ b/src/foldloom/placement/shard.py
@@ -101,11 +101,6 @@
         """How many leases are out."""
         return len(self._leases)
 
-    @property
-    def speeds(self) -> SpeedTable:
-        """The measured speeds."""
-        return self._speeds
-
     def take_events(self) -> list[str]:
         """Return and clear the sentences to log."""
         events, self._events = self._events, []
--- a/src/foldloom/placement/slots.py
+++ b/src/foldloom/placement/slots.py
@@ -133,11 +133,6 @@
         network.on(SlotGrant, self._on_grant)
         network.on(SlotRefusal, self._on_refusal)
 
-    @property
-    def held_count(self) -> int:
-        """How many leases this box holds."""
-        return len(self._held)
-
     def want(self, service: str, member: str, deadline_ms: float, job_tasks: int) -> Want:
         """Open a wish; nothing is asked yet."""
         want = Want(next(self._ids), service, member, deadline_ms, job_tasks)
--- a/src/foldloom/verdicts.py
+++ b/src/foldloom/verdicts.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 
 class Run(StrEnum):
@@ -47,20 +47,6 @@
         return Verdict.REFUSED if self.run is Run.NOT_RUN else Verdict.FAILED
 
 
-class Outcome(NamedTuple):
-    """The whole result of one job: either every answer or one problem.
-
-    Args:
-        answers: One answer a task, in task order; ``None`` if there is a problem.
-        problem: Why there are no answers; ``None`` if the job is complete.
-
-    .. versionadded:: 0.1.0
-    """
-
-    answers: list[Any] | None = None
-    problem: Problem | None = None
-
-
 def not_run(reason: str, detail: str = "", retry_after_ms: int = 0, status: int = 503) -> Problem:
     """Return a problem that says the work certainly did not run."""
     return Problem(Run.NOT_RUN, reason, detail, retry_after_ms, status)
--- a/src/foldloom/workers/adapter.py
+++ b/src/foldloom/workers/adapter.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import ssl
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 import aiohttp
 import msgspec
@@ -25,16 +25,11 @@
 _STOP_TIMEOUT_S = 1.0
 
 
-class TaskCall(NamedTuple):
+class TaskCall(TypedDict):
     """One attempt at one task, as the worker gets it.
 
-    Args:
-        attempt: Unique; the reply must echo it.
-        lease: The slot's lease.
-        service: Which service.
-        member: On whose account.
-        deadline_ms: How long the answer is of use.
-        payload: The caller's JSON, passed on as it came.
+    ``attempt`` is unique, and the reply must echo it; ``lease`` is the slot's; the answer is of
+    use for ``deadline_ms``; ``payload`` is the caller's JSON, passed on as it came.
     """
 
     attempt: str
@@ -45,15 +40,6 @@
     payload: msgspec.Raw
 
 
-class _TaskBody(msgspec.Struct):
-    attempt: str
-    lease: int
-    service: str
-    member: str
-    deadline_ms: int
-    payload: msgspec.Raw
-
-
 class _TaskReply(msgspec.Struct):
     attempt: str
     answer: msgspec.Raw
@@ -121,7 +107,7 @@
         try:
             async with self._session.post(
                 url,
-                data=_ENCODER.encode(_TaskBody(*call)),
+                data=_ENCODER.encode(call),
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
                 allow_redirects=False,
@@ -138,7 +124,7 @@
             return Error(may_have_run("worker-timeout", "no whole answer by the deadline"))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Error(may_have_run("worker-lost", type(error).__name__))
-        return _checked(body, call.attempt, monotonic_ms() - began_ms)
+        return _checked(body, call["attempt"], monotonic_ms() - began_ms)
 
     async def stop_task(self, endpoint: str, submission: str, index: int) -> None:
         """Ask a worker to stop a task; whether it did is not known."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -63,6 +63,7 @@
             ({"member": "m1", "tasks": [{"payload": 1}]}, 400, "service"),
             ({"service": "sleep", "member": "m1", "tasks": []}, 400, "tasks"),
             ({"service": "sleep", "member": "m1", "tasks": [{}]}, 400, "tasks[0].payload"),
+            ({"service": "sleep", "member": "a\nb", "tasks": [{"payload": 1}]}, 400, "member"),
             (b"{", 400, "truncated"),
             ({"service": "nix", "member": "m1", "tasks": [{"payload": 1}]}, 404, "service"),
             ({"service": "s", "member": "m", "tasks": [{"payload": 1}] * 2001}, 413, "tasks"),
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from typing import Any
 
@@ -10,6 +11,8 @@
 
 from foldloom.claims.replicas import claim_replicas, replica_sets
 from foldloom.controllers.config import BoxList, empty_config
+from foldloom.controllers.holder import ConfigHolder
+from foldloom.controllers.messages import ConfigPull, ConfigReply
 from foldloom.controllers.plans import make_plan, parse_intents
 from foldloom.controllers.state import (
     BoxesSettledCommand,
@@ -94,6 +97,58 @@
         assert state.config.boxes["epoch"] == 2
 
 
+class Peer:
+    """A network that hands every question to one other box's holder."""
+
+    def __init__(self) -> None:
+        """Know no handler yet."""
+        self.handlers: dict[type, Any] = {}
+        self.other: Peer | None = None
+        self.replies: list[ConfigReply] = []
+
+    def on(self, message_type: type, handler: Any) -> None:
+        """Remember a handler."""
+        self.handlers[message_type] = handler
+
+    async def ask(self, _box: str, message: ConfigPull, _timeout_ms: float) -> ConfigReply:
+        """Ask the other box."""
+        assert self.other is not None
+        self.replies.append(self.other.handlers[ConfigPull]("me", message))
+        return self.replies[-1]
+
+
+class TestConfigHolder:
+    """The configuration in force on a box."""
+
+    def test_pulls_changes_and_never_goes_back(self) -> None:
+        """A box behind pulls change sets, one at version 0 the whole; none takes an older one."""
+        state = _state()
+        peers: list[Any] = [Peer(), Peer()]
+        peers[1].other = peers[0]
+        source, puller = (ConfigHolder(peer, state.config) for peer in peers)
+
+        def change(number: int) -> None:
+            _confirm(state, f"c{number}", [{"kind": "member", "name": "m", "quota": number}])
+            source.adopt(state.config, state.changes_since(state.config.version - 1))
+
+        async def pull() -> None:
+            puller.hear_version("a1", source.config.version)
+            while puller.config.version < source.config.version:
+                await asyncio.sleep(0)
+
+        change(1)
+        asyncio.run(pull())
+        assert peers[1].replies[-1].config
+        change(2)
+        change(3)
+        asyncio.run(pull())
+        assert not peers[1].replies[-1].config
+        assert [one.version for one in peers[1].replies[-1].change_sets] == [2, 3]
+        assert puller.config == source.config
+        puller.adopt(_state().config)
+        assert puller.config.version == 3
+
+
 class TestReplicas:
     """Which boxes hold a submission's claim."""
 
