--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -74,10 +74,12 @@
             slow_every=3,
             address_of=proxy.address_of,
         ) as cluster:
+            rate = scenario.tasks_per_second * 0.6
+            start_load(cluster, jobs_per_second=rate, seconds=5).communicate(timeout=60)
             file = folder / "samples"
             load = start_load(
                 cluster,
-                jobs_per_second=scenario.tasks_per_second * 0.6,
+                jobs_per_second=rate,
                 seconds=_SECONDS,
                 deadline_ms=5_000,
                 samples=file,
@@ -88,6 +90,10 @@
             heal(cluster, proxy)
             load.communicate(timeout=120)
             samples = [json.loads(line) for line in file.read_text().splitlines()]
+            running = {
+                zone for zone in "abc" if cluster.processes[f"workers-{zone}"].poll() is None
+            }
+            cluster.workers = [spec for spec in cluster.workers if spec.zone in running]
             most = max(cluster.starts().values())
     finally:
         proxy.close()
--- /dev/null
+++ b/benchmarks/flood.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: MIT
+"""What a member gets while another one floods, at twice the load.
+
+Run: ``.venv/bin/python benchmarks/flood.py``. Two members of equal quota; one offers 40% of all
+slots, under its half, the other 160%. Writes ``benchmarks/flood.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+from rig import SCENARIOS, make_cluster, start_load
+
+_SECONDS = 12
+_OUT = Path(__file__).parent / "flood.json"
+_OFFERS = {"calm": 0.4, "flood": 1.6}
+
+
+def main() -> None:
+    """Measure."""
+    scenario = SCENARIOS["kestrelwood"]
+    folder = Path(tempfile.mkdtemp(prefix="foldloom-flood-"))
+    figures = {}
+    with make_cluster(folder, scenario, {}) as cluster:
+        members = [{"kind": "member", "name": name, "quota": 1} for name in _OFFERS]
+        cluster.wait_version(cluster.confirm(members))
+        loads = {}
+        for seed, (name, share) in enumerate(_OFFERS.items()):
+            loads[name] = start_load(
+                cluster,
+                jobs_per_second=scenario.tasks_per_second * share,
+                seconds=_SECONDS,
+                warmup_seconds=4,
+                deadline_ms=5_000,
+                members=name,
+                seed=seed,
+                samples=folder / name,
+                prefix=name,
+            )
+        time.sleep(_SECONDS)
+        for name, load in loads.items():
+            load.communicate(timeout=120)
+            samples = [json.loads(line) for line in (folder / name).read_text().splitlines()]
+            ratios = sorted(one[1] / one[2] for one in samples if one[3] == "complete")
+            figures[name] = {
+                "offered_share_of_slots": _OFFERS[name],
+                "outcomes": dict(Counter(one[3] for one in samples)),
+                "complete_of_offered": round(len(ratios) / len(samples), 3),
+                "response_over_ideal_p50": round(ratios[len(ratios) // 2], 2),
+                "response_over_ideal_p99": round(ratios[int(len(ratios) * 0.99)], 2),
+            }
+    _OUT.write_text(json.dumps(figures, indent=1) + "\n", encoding="utf-8")
+    print(json.dumps(figures, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/foldloom/entry/run.py
+++ b/src/foldloom/entry/run.py
@@ -7,7 +7,7 @@
 import itertools
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 from expression import Error, Ok, Result
@@ -26,6 +26,7 @@
 _RETRY_AFTER_MS = 500
 _RETRY_PAUSE_S = 0.01
 _SLOT_EXPIRED = "slot-expired"
+_DEADLINE = may_have_run("deadline", "the job did not end in time", status=504)
 # A job's deadline says nothing of the worker: tasks overdue are judged by the lease manager.
 _NO_FAULT_OF_WORKER = (_SLOT_EXPIRED, "worker-timeout")
 _STOPS: set[asyncio.Task[None]] = set()
@@ -83,7 +84,7 @@
         self._waiting = deque(range(len(request.payloads)))
         self._answers: list[msgspec.Raw | None] = [None] * len(request.payloads)
         self._left = len(request.payloads)
-        self._ends: asyncio.Queue[AttemptEnd] = asyncio.Queue()
+        self._events: asyncio.Queue[Any] = asyncio.Queue()
         self._attempts: dict[asyncio.Task[Result[TaskAnswer, Problem]], tuple[int, str]] = {}
         self._maybe_ran = 0
         self._longest_ms = 0.0
@@ -115,31 +116,28 @@
 
     async def _serve(self, want: Want) -> Problem | None:
         """Match slots and tasks until all are answered or the job has failed."""
-        arrival = asyncio.ensure_future(want.arrivals.get())
-        ended = asyncio.ensure_future(self._ends.get())
+        self._events = want.arrivals
+        while self._left:
+            event = await self._next_event()
+            problem: Problem | None = _DEADLINE
+            if isinstance(event, AttemptEnd):
+                problem = await self._take_end(event, want)
+            elif event is not None:
+                problem = self._take_arrival(event, want)
+            if problem is not None:
+                return problem
+        return None
+
+    async def _next_event(self) -> Slot | SlotRefusal | AttemptEnd | None:
+        """Return what happened next, or ``None`` at the deadline."""
+        if not self._events.empty():
+            return self._events.get_nowait()
+        left_s = (self._deadline_ms - monotonic_ms()) / 1_000
         try:
-            while self._left:
-                left_s = (self._deadline_ms - monotonic_ms()) / 1_000
-                done, _ = await asyncio.wait(
-                    (arrival, ended), timeout=max(0.0, left_s), return_when=asyncio.FIRST_COMPLETED
-                )
-                if not done:
-                    return may_have_run("deadline", "the job did not end in time", status=504)
-                problem = None
-                if ended in done:
-                    problem = await self._take_end(ended.result(), want)
-                    ended = asyncio.ensure_future(self._ends.get())
-                if problem is None and arrival in done:
-                    problem = self._take_arrival(arrival.result(), want)
-                    arrival = asyncio.ensure_future(want.arrivals.get())
-                if problem is not None:
-                    return problem
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._events.get()
+        except TimeoutError:
             return None
-        finally:
-            if arrival.done() and not arrival.cancelled():
-                self._return_unused(arrival.result())
-            arrival.cancel()
-            ended.cancel()
 
     def _return_unused(self, arrived: Slot | SlotRefusal) -> None:
         if isinstance(arrived, Slot):
@@ -214,7 +212,7 @@
         result = task.result()
         use, service_ms = _use_of(result)
         self._context.slots.give_back(slot, service_ms, use)
-        self._ends.put_nowait(AttemptEnd(index, result))
+        self._events.put_nowait(AttemptEnd(index, result))
 
     async def _take_end(self, end: AttemptEnd, want: Want) -> Problem | None:
         if end.result.is_ok():
--- a/src/foldloom/placement/shard.py
+++ b/src/foldloom/placement/shard.py
@@ -22,6 +22,7 @@
 )
 from foldloom.placement.policies import Choice, Policy, View, choose
 from foldloom.placement.queue import Pending, RequestQueue
+from foldloom.placement.shares import GrantRates
 from foldloom.placement.speeds import SpeedTable
 from foldloom.settings import Settings
 
@@ -81,6 +82,7 @@
         self._rates: dict[str, float] = {}
         self._running: dict[tuple[str, str], int] = {}
         self._queue = RequestQueue(self._quota_of)
+        self._granted = GrantRates()
         self._speeds = SpeedTable()
         self._health = Health(settings.timings.ejection_ms, settings.limits.ejected_share_max)
         self._proven: set[str] = set()
@@ -203,6 +205,7 @@
         for worker in self._usable:
             self._free[worker] = self._free_of(worker, now_ms)
         self._speeds.doubt_stale(now_ms)
+        self._granted.refresh(now_ms)
         self._refresh_views()
 
     def match(self, now_ms: float) -> list[Grant]:
@@ -325,6 +328,7 @@
             )
         )
         self._queue.take_one(pending)
+        self._granted.note(request.member)
         ttl = self._settings.timings.lease_ttl_ms
         message = SlotGrant(request.request_id, worker, lease_id, ttl)
         return Grant(pending.coordinator, message)
@@ -349,17 +353,21 @@
         return SlotRefusal(request.request_id, "queue-full" if is_full else "too-late", retry_after)
 
     def _member_wait_ms(self, request: SlotRequest, queued_member: int) -> float:
-        """Return the expected wait of a request's last task, by its member's own share."""
+        """Return the expected wait of a request's last task.
+
+        A member gets its share of what is active, or more where others leave some: then its
+        measured rate of grants tells how much.
+        """
         rate = self._rates.get(request.service, 0.0)
         if rate <= 0.0:
             return float(_RETRY_MAX_MS)
         excess = self.queued + request.tasks - self.free_slots
         if excess <= 0:
             return 0.0
-        backlogged = self._queue.members | {request.member}
-        share = self._quota_of(request.member) / sum(map(self._quota_of, backlogged))
-        own_wait = (queued_member + request.tasks) / (rate * share)
-        return min(excess / rate, own_wait)
+        active = self._queue.members | self._granted.members | {request.member}
+        share = self._quota_of(request.member) / sum(map(self._quota_of, active))
+        measured = min(rate, self._granted.rate_of(request.member))
+        return (queued_member + request.tasks) / max(rate * share, measured)
 
     def _rate_now(self, service: str) -> float:
         """Return how many tasks of *service* the shard can finish a millisecond."""
--- a/src/foldloom/placement/shares.py
+++ b/src/foldloom/placement/shares.py
@@ -1,12 +1,14 @@
 # SPDX-License-Identifier: MIT
-"""Whose turn it is: deficit round robin between members by quota."""
+"""Whose turn it is: deficit round robin between members, and what each has got lately."""
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 _QUANTUM = 1.0
+_RATE_ALPHA = 0.2
+_RATE_MIN_PER_MS = 1e-4
 
 
 class RoundRobin:
@@ -44,3 +46,38 @@
             return
         self._deficits[member] = left + _QUANTUM * self._quota_of(member)
         self._deficits.move_to_end(member)
+
+
+class GrantRates:
+    """Moving averages of the slots that each member was granted a millisecond."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[str] = Counter()
+        self._rates: dict[str, float] = {}
+        self._refreshed_ms = 0.0
+
+    @property
+    def members(self) -> set[str]:
+        """The members that were granted slots lately."""
+        return set(self._rates)
+
+    def rate_of(self, member: str) -> float:
+        """Return the member's grants a millisecond, lately."""
+        return self._rates.get(member, 0.0)
+
+    def note(self, member: str) -> None:
+        """Count one grant."""
+        self._counts[member] += 1
+
+    def refresh(self, now_ms: float) -> None:
+        """Take the grants since the last call into the averages."""
+        elapsed_ms = now_ms - self._refreshed_ms
+        if elapsed_ms <= 0:
+            return
+        self._refreshed_ms = now_ms
+        for member in {*self._counts, *self._rates}:
+            fresh = self._counts.pop(member, 0) / elapsed_ms
+            known = self._rates.get(member, fresh)
+            self._rates[member] = known + _RATE_ALPHA * (fresh - known)
+            if self._rates[member] < _RATE_MIN_PER_MS:
+                del self._rates[member]
--- a/src/foldloom/placement/slots.py
+++ b/src/foldloom/placement/slots.py
@@ -10,7 +10,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from foldloom.controllers.config import Config
 from foldloom.metrics import Metrics
@@ -58,6 +58,8 @@
 class Want:
     """A job's wish for slots; slots and a refusal come out of ``arrivals``.
 
+    The job may put events of its own there, so as to wait at one place only.
+
     Args:
         request_id: This box's number for it.
         service: Whose workers may serve.
@@ -78,7 +80,7 @@
         self.shard = ""
         self.asked_of = ""
         self.touched_ms = 0.0
-        self.arrivals: asyncio.Queue[Slot | SlotRefusal] = asyncio.Queue()
+        self.arrivals: asyncio.Queue[Any] = asyncio.Queue()
 
 
 class SlotSource(Protocol):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -153,6 +153,35 @@
 class TestAdmission:
     """Requests that are refused at once."""
 
+    def test_flooding_member_is_judged_by_what_it_gets(self) -> None:
+        """A member whose slots others also use is refused as soon as its own queue is long."""
+        members = {
+            "calm": Member(quota=1, concurrency_max=0),
+            "flood": Member(quota=1, concurrency_max=0),
+        }
+        shard = _shard(_config(2, members))
+        numbers = itertools.count(1)
+        held: list[Grant] = []
+        for step in range(1, 101):
+            for member in ("calm", *["flood"] * 5):
+                shard.add("a1", _request(next(numbers), 1, member))
+            for grant in held[:4]:
+                _give_back(shard, grant, 100.0)
+            held = [*held[4:], *shard.match(step * 100.0)]
+            for grant in held:
+                lease = grant.message
+                shard.hold("a1", HeldSlot(lease.lease_id, lease.worker, "s", "m", 0), step * 100.0)
+            shard.tick(step * 100.0)
+        # Four slots of 100 ms are 40 tasks a second; calm takes 10 of them, so the queue lasts
+        # for its length over 30, not over 40.
+        in_time_s = shard.queued / 35
+        left_ms = int(in_time_s / 0.8 * 1_000)
+        assert shard.queued > 100
+        refusal = shard.add("a1", _request(next(numbers), 1, "flood", left_ms))
+        assert refusal is not None
+        assert refusal.reason == "too-late"
+        assert shard.add("a1", _request(next(numbers), 1, "calm", 2_000)) is None
+
     def test_too_late(self) -> None:
         """A job that can't be done by its deadline is refused with when to come back."""
         shard = _shard(_config(1))
