A new lease manager is asked until it must know that it is one

Cause: after the lease manager's box was killed, tasks waited 4.0 s at the worst although its loss is noticed after 1 s: coordinators sent their requests again the moment they saw the change, the new lease manager did not see it yet and dropped them, and the next try came after 3 s.

Ruled out: keeping early requests at a box that is no lease manager; it can't tell an early one from a stray one.

Change: for 2.5 s after a change requests go again every 250 ms; sent twice they count once.

Conclusion: what is left is the time to notice a silent box and the 300 ms in which a new lease manager hears of the leases that are out.

--- a/src/foldloom/placement/slots.py
+++ b/src/foldloom/placement/slots.py
@@ -32,6 +32,8 @@
 
 _CHECK_S = 0.1
 _RESEND_MS = 3_000
+_RESEND_UNSETTLED_MS = 250
+_UNSETTLED_MS = 2_500
 _SAFETY_MS = 100
 
 
@@ -132,6 +134,7 @@
         self._shards: tuple[int, dict[str, list[str]]] = (-1, {})
         self._shard_of: dict[str, str] = {}
         self._managers: dict[str, str] = {}
+        self._unsettled_ms = 0.0
         network.on(SlotGrant, self._on_grant)
         network.on(SlotRefusal, self._on_refusal)
 
@@ -181,11 +184,22 @@
             if changed or now_ms - renewed_ms > self._settings.timings.lease_ttl_ms / 4:
                 renewed_ms = now_ms
                 self._renew(now_ms)
-            for want in list(self._wants.values()):
-                is_stale = now_ms - want.touched_ms > _RESEND_MS
-                is_moved = self._managers.get(want.shard) != want.asked_of
-                if want.outstanding and (is_stale or is_moved):
-                    self._send_request(want)
+            self.ask_again(now_ms, changed)
+
+    def ask_again(self, now_ms: float, has_changed: bool) -> None:
+        """Send requests again that a lost or a new lease manager may not have.
+
+        A new one may not know yet that it is: it drops what comes too early. So for a while
+        after a change requests go again and again; sent twice they count once.
+        """
+        if has_changed:
+            self._unsettled_ms = now_ms + _UNSETTLED_MS
+        limit_ms = _RESEND_UNSETTLED_MS if now_ms < self._unsettled_ms else _RESEND_MS
+        for want in list(self._wants.values()):
+            is_stale = now_ms - want.touched_ms > limit_ms
+            is_moved = self._managers.get(want.shard) != want.asked_of
+            if want.outstanding and (is_stale or is_moved):
+                self._send_request(want)
 
     def _shard_names(self) -> dict[str, list[str]]:
         config = self._config()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,12 +18,14 @@
     Worker,
     empty_config,
 )
+from foldloom.metrics import Metrics
 from foldloom.placement.health import Health
 from foldloom.placement.messages import HeldSlot, SlotRequest, SlotReturn, SlotUse
 from foldloom.placement.policies import POLICIES, Choice, SlotLeases, View, choose
 from foldloom.placement.retries import RetryBudget, may_retry
 from foldloom.placement.shard import Grant, Shard
 from foldloom.placement.shards import FLEET, manager_of, shard_names
+from foldloom.placement.slots import LeasedSlots
 from foldloom.placement.speeds import SpeedTable
 from foldloom.settings import settings_from
 from foldloom.verdicts import may_have_run, not_run
@@ -366,6 +368,45 @@
         assert allowed in (9, 10)
 
 
+class Sent:
+    """A network that keeps what is sent."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.messages: list[tuple[str, object]] = []
+
+    def on(self, _message_type: type, _handler: object) -> None:
+        """Take no handler."""
+
+    def tell(self, box: str, message: object, _ttl_ms: int = 0) -> None:
+        """Keep a message."""
+        self.messages.append((box, message))
+
+
+class TestLeasedSlots:
+    """A coordinator's side of leases."""
+
+    def test_asks_a_new_manager_until_it_must_know(self) -> None:
+        """After a change of the lease manager a request goes again soon, later seldom."""
+        network: Any = Sent()
+        config = _config(1)
+        slots = LeasedSlots(
+            _shard(config)._settings, network, Metrics(), lambda: config, lambda _shard: "b1", dict
+        )
+        want = slots.want("s", "m1", 1e12, 1)
+        slots.ask(want, 1)
+        slots._note_managers()
+        began = want.touched_ms
+        slots.ask_again(began, has_changed=True)
+        slots.ask_again(began + 300, has_changed=False)
+        assert len(network.messages) == 2
+        want.touched_ms = began + 2_600
+        slots.ask_again(began + 3_000, has_changed=False)
+        assert len(network.messages) == 2
+        slots.ask_again(began + 6_000, has_changed=False)
+        assert len(network.messages) == 3
+
+
 class TestShards:
     """Who manages which workers."""
 
