Admission is a decision of its own

Ruled out: splitting leases off instead; they share every counter with the choice of a slot.

Change: placement/admission.py judges a request from what is seen; the shard gathers that.

Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/foldloom/placement/admission.py
@@ -0,0 +1,64 @@
+# SPDX-License-Identifier: MIT
+"""Whether a request for slots is taken: at once, and with when to come back if not."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from foldloom.placement.messages import SlotRefusal, SlotRequest
+from foldloom.settings import LimitSettings
+
+RETRY_MAX_MS = 10_000
+_RETRY_MIN_MS = 50
+_ADMIT_SHARE = 0.8
+_RUN_MEANS = 2.0
+
+
+class LoadSeen(NamedTuple):
+    """What a lease manager knows when a request comes.
+
+    Args:
+        queued: Tasks that wait.
+        queued_member: Those of the request's member.
+        free_slots: Slots that no lease holds.
+        rate: Tasks of the service that the shard can finish a millisecond.
+        share: The member's part of the quotas of the members active lately.
+        granted_rate: Slots a millisecond that the member was granted lately.
+        mean_ms: The service's mean service time.
+    """
+
+    queued: int
+    queued_member: int
+    free_slots: int
+    rate: float
+    share: float
+    granted_rate: float
+    mean_ms: float
+
+
+def judge(request: SlotRequest, seen: LoadSeen, limits: LimitSettings) -> SlotRefusal | None:
+    """Return a refusal if *request* overflows a queue or can't be served in time."""
+    is_full = (
+        seen.queued + request.tasks > limits.queued_tasks_max
+        or seen.queued_member + request.tasks > limits.queued_tasks_per_member_max
+    )
+    wait_ms = expected_wait_ms(request.tasks, seen)
+    over_ms = wait_ms + _RUN_MEANS * seen.mean_ms - request.left_ms * _ADMIT_SHARE
+    if not is_full and (over_ms <= 0 or wait_ms <= 0):
+        return None
+    retry_after = int(min(RETRY_MAX_MS, max(_RETRY_MIN_MS, over_ms)))
+    return SlotRefusal(request.request_id, "queue-full" if is_full else "too-late", retry_after)
+
+
+def expected_wait_ms(tasks: int, seen: LoadSeen) -> float:
+    """Return how long the last of *tasks* is expected to wait.
+
+    A member gets its share of what is active, or more where others leave some: then its
+    measured rate of grants tells how much.
+    """
+    if seen.rate <= 0.0:
+        return float(RETRY_MAX_MS)
+    if seen.queued + tasks <= seen.free_slots:
+        return 0.0
+    measured = min(seen.rate, seen.granted_rate)
+    return (seen.queued_member + tasks) / max(seen.rate * seen.share, measured)
--- a/src/foldloom/placement/shard.py
+++ b/src/foldloom/placement/shard.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from foldloom.controllers.config import Config, workers_of
+from foldloom.placement.admission import RETRY_MAX_MS, LoadSeen, judge
 from foldloom.placement.health import Health
 from foldloom.placement.messages import (
     HeldSlot,
@@ -29,14 +30,11 @@
 _SICK_RATIO = 4.0
 _OVERDUE_RATIO = 6.0
 _OVERDUE_MIN_MS = 1_000
-_ADMIT_SHARE = 0.8
-_RUN_MEANS = 2.0
 _LONG_QUEUE_MEANS = 3.0
 _SHORT_SHARE = 0.03
 _SHARE_PER_DOUBLING = 0.035
 _SHARE_MAX = 0.5
-_RETRY_MIN_MS = 50
-_RETRY_MAX_MS = 10_000
+_NO_WORKER_RETRY_MS = 1_000
 
 
 class Lease(NamedTuple):
@@ -222,7 +220,7 @@
         """Return how long a new task of *service* is expected to wait."""
         rate = self._rates.get(service, 0.0)
         if rate <= 0.0:
-            return float(_RETRY_MAX_MS)
+            return float(RETRY_MAX_MS)
         excess = self.queued - self.free_slots
         return max(0.0, excess / rate)
 
@@ -335,39 +333,20 @@
 
     def _judge(self, request: SlotRequest) -> SlotRefusal | None:
         """Return a refusal if the request can't be served in time."""
-        limits = self._settings.limits
         workers = self._workers_of.get(request.service, ())
         if not any(worker in self._usable for worker in workers):
-            return SlotRefusal(request.request_id, "no-worker", 1_000)
-        queued_member = self._queue.tasks_of_member(request.member)
-        is_full = (
-            self.queued + request.tasks > limits.queued_tasks_max
-            or queued_member + request.tasks > limits.queued_tasks_per_member_max
-        )
-        wait_ms = self._member_wait_ms(request, queued_member)
-        mean_ms = self._speeds.service_mean_ms(request.service)
-        over_ms = wait_ms + _RUN_MEANS * mean_ms - request.left_ms * _ADMIT_SHARE
-        if not is_full and (over_ms <= 0 or wait_ms <= 0):
-            return None
-        retry_after = int(min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, over_ms)))
-        return SlotRefusal(request.request_id, "queue-full" if is_full else "too-late", retry_after)
-
-    def _member_wait_ms(self, request: SlotRequest, queued_member: int) -> float:
-        """Return the expected wait of a request's last task.
-
-        A member gets its share of what is active, or more where others leave some: then its
-        measured rate of grants tells how much.
-        """
-        rate = self._rates.get(request.service, 0.0)
-        if rate <= 0.0:
-            return float(_RETRY_MAX_MS)
-        excess = self.queued + request.tasks - self.free_slots
-        if excess <= 0:
-            return 0.0
+            return SlotRefusal(request.request_id, "no-worker", _NO_WORKER_RETRY_MS)
         active = self._queue.members | self._granted.members | {request.member}
-        share = self._quota_of(request.member) / sum(map(self._quota_of, active))
-        measured = min(rate, self._granted.rate_of(request.member))
-        return (queued_member + request.tasks) / max(rate * share, measured)
+        seen = LoadSeen(
+            self.queued,
+            self._queue.tasks_of_member(request.member),
+            self.free_slots,
+            self._rates.get(request.service, 0.0),
+            self._quota_of(request.member) / sum(map(self._quota_of, active)),
+            self._granted.rate_of(request.member),
+            self._speeds.service_mean_ms(request.service),
+        )
+        return judge(request, seen, self._settings.limits)
 
     def _rate_now(self, service: str) -> float:
         """Return how many tasks of *service* the shard can finish a millisecond."""
