--- a/tests/test_claims_faults.py
+++ b/tests/test_claims_faults.py
@@ -311,6 +311,15 @@
         assert max(rig.started(f"bad-{fault}")) == 1
         assert time.monotonic() - began < 4.0
 
+    def test_late_answer(self, rig: Rig) -> None:
+        """An answer after the deadline is never passed on, nor is the task started again."""
+        late = rig.cluster.submit("a1", "late", [{"ms": 1_500}], deadline_ms=500)
+        assert (late.status, late.fields["run"]) == (504, "may-have-run")
+        time.sleep(1.5)
+        again = rig.cluster.submit("b1", "late", [{"ms": 1_500}])
+        assert again.fields == late.fields
+        assert rig.started("late") == [1]
+
     def test_refused_everywhere_is_not_run(self, rig: Rig) -> None:
         """A task that every worker truly refuses makes a job that is refused as not run."""
         answer = rig.cluster.submit("a1", "none-takes", [{"fault": "refuse"}], deadline_ms=3_000)
