--- /dev/null
+++ b/benchmarks/drain.py
@@ -0,0 +1,52 @@
+# SPDX-License-Identifier: MIT
+"""When the last task starts on a worker that is drained under load.
+
+Run: ``.venv/bin/python benchmarks/drain.py``. Nine boxes, 60% of the slots, three fast workers
+drained one after the other; times count from the moment that the confirm was sent. Writes
+``benchmarks/drain.json``.
+"""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import time
+from pathlib import Path
+
+from rig import SCENARIOS, make_cluster, start_load
+
+from cluster import http
+
+_OUT = Path(__file__).parent / "drain.json"
+_SECONDS = 18
+
+
+def main() -> None:
+    """Measure."""
+    scenario = SCENARIOS["sahulat"]
+    folder = Path(tempfile.mkdtemp(prefix="foldloom-drain-"))
+    sent = {}
+    rows = []
+    with make_cluster(folder, scenario, {}) as cluster:
+        rate = scenario.tasks_per_second * 0.6
+        load = start_load(cluster, jobs_per_second=rate, seconds=_SECONDS)
+        time.sleep(6)
+        for name in ("aw1", "bw2", "cw1"):
+            sent[name] = time.time()
+            cluster.confirm([{"kind": "worker-leaving", "name": name}])
+            time.sleep(1)
+        load.communicate(timeout=60)
+        for spec in cluster.workers:
+            if spec.name in sent:
+                fields = http("GET", f"http://127.0.0.1:{spec.port}/starts").fields
+                last = max(fields["first_start_s"].values()) - sent[spec.name]
+                starts = len(fields["first_start_s"])
+                rows.append(
+                    {"worker": spec.name, "last_start_after_s": round(last, 3), "starts": starts}
+                )
+    _OUT.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+    print(json.dumps(rows))
+
+
+if __name__ == "__main__":
+    main()
