The test of keys no longer hangs at the end of its context

Cause: a DEALER that was rebound was closed by the garbage collector with the default linger, and its message, never deliverable to a server that wants keys, held up Context.term for ever. Shown by a program of ten lines: two sockets, one rebound, to a dead port: hangs; with LINGER 0: ends.

Ruled out: the boxes. Their logs show the job complete at the time; only the test waited.

Change: the test's sockets get LINGER 0 when they are made. What it asserts is the same.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -211,6 +211,8 @@
             context = zmq.Context()
             for stranger in (None, zmq.curve_keypair()):
                 socket: zmq.Socket[bytes] = context.socket(zmq.DEALER)
+                # Dropped with the default linger, it would hold up the end of the context.
+                socket.setsockopt(zmq.LINGER, 0)
                 if stranger is not None:
                     socket.curve_publickey, socket.curve_secretkey = stranger
                     socket.curve_serverkey = keys["a1"][0]
