--- a/src/foldloom/controllers/log.py
+++ b/src/foldloom/controllers/log.py
@@ -11,8 +11,8 @@
 class ReplicatedLog:
     """Entries after a snapshot, the term and the vote.
 
-    Every change on disk runs under one lock; a sync runs in a thread, so that the event
-    loop goes on. Whatever is appended while a sync runs goes into the next one.
+    Every change on disk runs under one lock and in a thread, so that the event loop goes
+    on. Whatever is appended while a sync runs goes into the next one.
 
     Args:
         storage: The opened storage.
@@ -101,9 +101,8 @@
             if not fresh:
                 return
             last = fresh[-1].log_index
-            self._storage.append(fresh)
             self._written_index = last
-            await asyncio.to_thread(self._storage.sync)
+            await asyncio.to_thread(self._write, fresh)
             self._durable_index = min(last, self.last_index)
 
     async def save_term_vote(self, term: int, voted_for: str) -> None:
@@ -114,8 +113,7 @@
         """
         self._term_vote = TermVote(term, voted_for)
         async with self._lock:
-            self._storage.save_term_vote(self._term_vote)
-            await asyncio.to_thread(self._storage.sync)
+            await asyncio.to_thread(self._write_term_vote, self._term_vote)
 
     async def accept(self, entries: list[Entry]) -> None:
         """Take a leader's *entries*; those that differ from ours replace ours, durably.
@@ -128,13 +126,12 @@
             if not fresh:
                 return
             first = fresh[0].log_index
-            if first <= self.last_index:
-                self._storage.cut_from(first)
+            cut_from = first if first <= self.last_index else 0
+            if cut_from:
                 del self._entries[first - self._snapshot.last_index - 1 :]
-            self._storage.append(fresh)
             self._entries.extend(fresh)
             self._written_index = self.last_index
-            await asyncio.to_thread(self._storage.sync)
+            await asyncio.to_thread(self._write, fresh, cut_from)
             self._durable_index = self.last_index
 
     async def compact(self, snapshot: Snapshot) -> None:
@@ -159,6 +156,20 @@
             await asyncio.to_thread(self._storage.save_snapshot, snapshot, self._term_vote, written)
             self._durable_index = self._written_index
 
+    def _write(self, entries: list[Entry], cut_from: int = 0) -> None:
+        """Write and sync *entries*, in place of those from *cut_from* on if it is not 0.
+
+        Runs in a thread: a stalled disk holds up the write as well as the sync.
+        """
+        if cut_from:
+            self._storage.cut_from(cut_from)
+        self._storage.append(entries)
+        self._storage.sync()
+
+    def _write_term_vote(self, term_vote: TermVote) -> None:
+        self._storage.save_term_vote(term_vote)
+        self._storage.sync()
+
     def _fresh_of(self, entries: list[Entry]) -> list[Entry]:
         """Return the tail of *entries* that this log does not hold."""
         for position, entry in enumerate(entries):
--- a/src/foldloom/controllers/node.py
+++ b/src/foldloom/controllers/node.py
@@ -30,6 +30,7 @@
     Answer,
     ChangeSet,
     FoundCommand,
+    Publication,
     ReplicatedState,
     encode_command,
 )
@@ -41,6 +42,7 @@
 from foldloom.settings import Settings
 
 _SNAPSHOT_ENTRIES = 200
+_SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 _PROPOSE_TIMEOUT_MS = 5_000
 _READMIT_INTERVAL_S = 0.2
 
@@ -68,6 +70,7 @@
         metrics: Counters.
         initial: The configuration at version 0.
         on_config: Called with each newer confirmed configuration and what led to it.
+        on_publication: Called with each newer published document.
     """
 
     def __init__(
@@ -77,12 +80,14 @@
         metrics: Metrics,
         initial: Config,
         on_config: Callable[[Config, list[ChangeSet]], None],
+        on_publication: Callable[[Publication], None] = lambda _publication: None,
     ) -> None:
         self.network = network
         self.box = settings.box
         self.election_timeout_ms = settings.timings.election_timeout_ms
         self._metrics = metrics
         self._on_config = on_config
+        self._on_publication = on_publication
         self._storage, self.log = open_storage(settings)
         self._initial = initial
         self._state = ReplicatedState(initial)
@@ -171,6 +176,12 @@
         """Whether this controller's memory counts."""
         return not self._is_failed and self.is_counted(self.box, self.storage_id, self.is_first)
 
+    @property
+    def _is_snapshot_due(self) -> bool:
+        if self.log.entry_count > _SNAPSHOT_ENTRIES:
+            return True
+        return self._storage.log_bytes > _SNAPSHOT_LOG_BYTES
+
     @property
     def summary(self) -> dict[str, object]:
         """Facts for ``foldloom status``."""
@@ -265,6 +276,7 @@
         """Commit and apply the entries up to *index*."""
         self._commit_index = max(self._commit_index, index)
         version = self._state.config.version
+        published = self._state.publication.version
         while self._applied_index < min(self._commit_index, self.log.last_index):
             entry = self.log.entry(self._applied_index + 1)
             answer = self._state.apply(entry.payload)
@@ -275,7 +287,9 @@
             self._start_index = 0
         if self._state.config.version != version:
             self._adopt(version)
-        if self.log.entry_count > _SNAPSHOT_ENTRIES and not self._is_compacting:
+        if self._state.publication.version != published:
+            self._on_publication(self._state.publication)
+        if self._is_snapshot_due and not self._is_compacting:
             self._is_compacting = True
             self._spawn(self._compact())
 
@@ -338,6 +352,7 @@
         self._applied_index = snapshot.last_index
         self._commit_index = max(self._commit_index, snapshot.last_index)
         self._on_config(self._state.config, [])
+        self._on_publication(self._state.publication)
 
     async def _compact(self) -> None:
         index = self._applied_index
--- a/src/foldloom/controllers/state.py
+++ b/src/foldloom/controllers/state.py
@@ -67,8 +67,20 @@
     controllers: dict[str, str]
 
 
+class PublishCommand(msgspec.Struct, tag="publish", array_like=True, frozen=True):
+    """Put a whole document in force if *version* is above the one held."""
+
+    version: int
+    document: bytes
+
+
 Command = (
-    ConfirmCommand | IncarnationCommand | VoterReadyCommand | BoxesSettledCommand | FoundCommand
+    ConfirmCommand
+    | IncarnationCommand
+    | VoterReadyCommand
+    | BoxesSettledCommand
+    | FoundCommand
+    | PublishCommand
 )
 
 _COMMANDS = msgspec.msgpack.Decoder(Command)
@@ -100,6 +112,21 @@
     changes: list[Change]
 
 
+class Publication(NamedTuple):
+    """A configuration that an operator publishes whole, under a version of its own.
+
+    Args:
+        version: The operator's number; the highest one holds. 0: nothing was published.
+        document: What it says, in the operator's own form.
+    """
+
+    version: int
+    document: bytes
+
+
+NO_PUBLICATION = Publication(0, b"")
+
+
 class _Saved(NamedTuple):
     """The state as a snapshot holds it."""
 
@@ -108,6 +135,7 @@
     incarnations: dict[str, tuple[int, int]]
     change_sets: list[ChangeSet]
     is_founded: bool
+    publication: Publication = NO_PUBLICATION
 
 
 _SAVED = msgspec.msgpack.Decoder(_Saved)
@@ -136,6 +164,12 @@
         self._incarnations: dict[str, tuple[int, int]] = {}
         self._change_sets: list[ChangeSet] = []
         self._is_founded = False
+        self._publication = NO_PUBLICATION
+
+    @property
+    def publication(self) -> Publication:
+        """What was published under the highest version."""
+        return self._publication
 
     @property
     def is_founded(self) -> bool:
@@ -169,6 +203,7 @@
             self._incarnations,
             self._change_sets,
             self._is_founded,
+            self._publication,
         )
         return _ENCODER.encode(saved)
 
@@ -180,6 +215,7 @@
         self._incarnations = dict(saved.incarnations)
         self._change_sets = list(saved.change_sets)
         self._is_founded = saved.is_founded
+        self._publication = saved.publication
 
     def found(self, command: FoundCommand) -> Answer:
         """Take the first boxes and controllers; a second time changes nothing."""
@@ -205,6 +241,12 @@
             del self._answers[next(iter(self._answers))]
         return answer
 
+    def publish(self, command: PublishCommand) -> Answer:
+        """Hold a document of a higher version; any other changes nothing."""
+        if command.version > self._publication.version:
+            self._publication = Publication(command.version, command.document)
+        return Answer(200, self._publication.version)
+
     def record_incarnation(self, command: IncarnationCommand) -> Answer:
         """Record a box's life; the answer's number is the one before, also when resent."""
         newest, before = self._incarnations.get(command.box, (0, 0))
@@ -283,3 +325,8 @@
 @_apply.register
 def _(command: FoundCommand, state: ReplicatedState) -> Answer:
     return state.found(command)
+
+
+@_apply.register
+def _(command: PublishCommand, state: ReplicatedState) -> Answer:
+    return state.publish(command)
--- /dev/null
+++ b/src/foldloom/entry/job_runner.py
@@ -0,0 +1,219 @@
+# SPDX-License-Identifier: MIT
+"""A job that need not be kept, from its arrival to its one answer."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import NamedTuple
+
+from foldloom.jobs.queues import Queue
+from foldloom.jobs.spec import Job, Step, TaskId
+from foldloom.logs import ENTRY_LOG
+from foldloom.metrics import Metrics
+from foldloom.owners.client import Batch, OwnerClient
+from foldloom.owners.messages import EndCause, RunEnd, RunOrder, SubmitRuns, SubmitStatus
+from foldloom.peers.wire import monotonic_ms
+
+_LATE_FACTOR = 3.0
+
+
+class JobOutcome(Enum):
+    """How a job was answered."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REFUSED = "refused"
+    EXPIRED = "expired"
+
+
+class JobResult(NamedTuple):
+    """The answer to a job.
+
+    Args:
+        outcome: How it ended. ``REFUSED``: nothing of it ran anywhere.
+        reason: For the log and the caller.
+        retry_after_ms: With ``REFUSED``, when to come back.
+    """
+
+    outcome: JobOutcome
+    reason: str = ""
+    retry_after_ms: int = 0
+
+
+class _Attempts:
+    """One task's starts and failures."""
+
+    __slots__ = ("failures", "run")
+
+    def __init__(self) -> None:
+        self.run = 1
+        self.failures = 0
+
+
+class JobRunner:
+    """Run one job.
+
+    Args:
+        job: The job.
+        queue: Where it was handed in.
+        client: The way to the owner.
+        deadline_ms: When it is given up; own monotonic clock.
+    """
+
+    def __init__(self, job: Job, queue: Queue, client: OwnerClient, deadline_ms: float) -> None:
+        self._job = job
+        self._queue = queue
+        self._client = client
+        self._deadline_ms = deadline_ms
+        self._began_ms = monotonic_ms()
+        self._ends: asyncio.Queue[RunEnd] = asyncio.Queue()
+        self._batches: dict[int, Batch] = {}
+        self._attempts: dict[TaskId, _Attempts] = {}
+        self._left = [step.tasks for step in job.steps]
+        self._has_run = False
+
+    async def run(self) -> JobResult:
+        """Return the job's one result; whatever still runs of it then is stopped."""
+        try:
+            async with asyncio.timeout((self._deadline_ms - monotonic_ms()) / 1_000):
+                return await self._run_steps()
+        except TimeoutError:
+            if self._has_run:
+                return JobResult(JobOutcome.EXPIRED, "deadline")
+            return JobResult(JobOutcome.EXPIRED, "no owner")
+        finally:
+            self._client.forget(self._job.job_id)
+
+    async def _run_steps(self) -> JobResult:
+        refusal = await self._start_ready_steps()
+        while refusal is None and any(self._left):
+            end = await self._ends.get()
+            if end.cause is EndCause.DONE:
+                refusal = await self._note_done(end)
+                continue
+            refusal = await self._note_failed(end)
+        return refusal or JobResult(JobOutcome.COMPLETED)
+
+    async def _start_ready_steps(self) -> JobResult | None:
+        for number, step in enumerate(self._job.steps):
+            if number in self._batches or any(self._left[needed] for needed in step.depends_on):
+                continue
+            self._batches[number] = Batch(self._template(step), self._ends)
+            orders = [RunOrder(number, task, 1) for task in range(step.tasks)]
+            refusal = await self._submit(number, orders)
+            if refusal is not None:
+                return refusal
+        return None
+
+    async def _note_done(self, end: RunEnd) -> JobResult | None:
+        step = end.run_id.task.step
+        self._left[step] -= 1
+        if self._left[step]:
+            return None
+        return await self._start_ready_steps()
+
+    async def _note_failed(self, end: RunEnd) -> JobResult | None:
+        """Start a task again whose run ended without being done, or fail the job."""
+        task = end.run_id.task
+        attempts = self._attempts.setdefault(task, _Attempts())
+        if end.cause in (EndCause.FAILED, EndCause.REFUSED):
+            attempts.failures += 1
+        if attempts.failures >= self._queue.attempts_max:
+            return JobResult(JobOutcome.FAILED, f"a task failed {attempts.failures} times")
+        attempts.run = max(attempts.run, end.run_id.run) + 1
+        ENTRY_LOG.info(
+            "Job {}: task {}.{} ended {} on {}; run {} follows.",
+            self._job.job_id,
+            task.step,
+            task.number,
+            end.cause.name,
+            end.worker or "no worker",
+            attempts.run,
+        )
+        return await self._submit(task.step, [RunOrder(task.step, task.number, attempts.run)])
+
+    async def _submit(self, step: int, orders: list[RunOrder]) -> JobResult | None:
+        reply = await self._client.submit(self._batches[step], orders)
+        if reply.status is SubmitStatus.REFUSED:
+            if self._has_run:
+                return JobResult(JobOutcome.EXPIRED, reply.reason)
+            return JobResult(JobOutcome.REFUSED, reply.reason, reply.retry_after_ms)
+        self._has_run = True
+        return None
+
+    def _template(self, step: Step) -> SubmitRuns:
+        now_ms = monotonic_ms()
+        objective_ms = self._queue.objective_ms(self._chain_ms())
+        aim_ms = self._began_ms + objective_ms - now_ms
+        late_ms = self._began_ms + _LATE_FACTOR * objective_ms - now_ms
+        return SubmitRuns(
+            token=0,
+            job_id=self._job.job_id,
+            repeat=0,
+            service=self._queue.service,
+            spec=self._job.spec,
+            demand=step.demand,
+            placement=step.placement,
+            priority=self._queue.priority,
+            estimate_ms=step.estimate_ms,
+            aim_ms=int(aim_ms),
+            late_ms=int(late_ms),
+            deadline_ms=int(self._deadline_ms - now_ms),
+            old_right_ms=0,
+            orders=[],
+        )
+
+    def _chain_ms(self) -> float:
+        """Return how long the longest chain of steps is expected to take."""
+        ends: list[float] = []
+        for step in self._job.steps:
+            before = max((ends[needed] for needed in step.depends_on), default=0.0)
+            ends.append(before + step.estimate_ms)
+        return max(ends, default=0.0)
+
+
+class JobDesk:
+    """The jobs that this node runs now; the same id joins the one that runs.
+
+    Args:
+        client: The way to the owner.
+        metrics: Counters.
+    """
+
+    def __init__(self, client: OwnerClient, metrics: Metrics) -> None:
+        self._client = client
+        self._metrics = metrics
+        self._running: dict[str, asyncio.Task[JobResult]] = {}
+        self._waiters: dict[str, int] = {}
+
+    @property
+    def running_count(self) -> int:
+        """How many jobs run."""
+        return len(self._running)
+
+    async def run(self, job: Job, queue: Queue, deadline_ms: float) -> JobResult:
+        """Return the result of *job*; it is given up when nobody waits for it any more."""
+        task = self._running.get(job.job_id)
+        if task is None:
+            runner = JobRunner(job, queue, self._client, deadline_ms)
+            task = asyncio.create_task(runner.run())
+            self._running[job.job_id] = task
+            self._waiters[job.job_id] = 0
+            self._metrics.count("jobs.submitted")
+        self._waiters[job.job_id] += 1
+        try:
+            result = await asyncio.shield(task)
+        finally:
+            self._leave(job.job_id, task)
+        self._metrics.count(f"jobs.{result.outcome.value}")
+        return result
+
+    def _leave(self, job_id: str, task: asyncio.Task[JobResult]) -> None:
+        if self._running.get(job_id) is not task:
+            return
+        self._waiters[job_id] -= 1
+        if self._waiters[job_id]:
+            return
+        del self._running[job_id], self._waiters[job_id]
+        task.cancel()
--- /dev/null
+++ b/src/foldloom/fleet/joiner.py
@@ -0,0 +1,118 @@
+# SPDX-License-Identifier: MIT
+"""How a node stays in touch with every controller: one task for each."""
+
+from __future__ import annotations
+
+import asyncio
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.messages import Join, JoinReply, Noted, WorkersSeen
+from foldloom.fleet.published import PublishedHolder
+from foldloom.fleet.view import FleetView
+from foldloom.logs import CONFIG_LOG, PEER_LOG
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.workers.catalog import WorkerCatalog
+from foldloom.workers.records import WorkerRecord
+
+_LOST_AFTER = 3
+_WATCH_S = 0.1
+
+
+class Joiner:
+    """Tell every controller of this node and learn what it knows.
+
+    Args:
+        network: The peers.
+        view: What is known of the others.
+        holder: The published configuration.
+        catalog: The list of workers.
+        interval_ms: How often to tell each controller.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        view: FleetView,
+        holder: PublishedHolder,
+        catalog: WorkerCatalog,
+        interval_ms: int,
+    ) -> None:
+        self._network = network
+        self._view = view
+        self._holder = holder
+        self._catalog = catalog
+        self._interval_ms = interval_ms
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._heard_ms: dict[str, float] = {}
+        network.on(WorkersSeen, self._on_workers)
+
+    def heard_since(self, since_ms: float) -> list[str]:
+        """Return the controllers that answered after *since_ms*."""
+        return [node for node, heard in self._heard_ms.items() if heard > since_ms]
+
+    async def run(self) -> None:
+        """Keep one task for each known controller until cancelled."""
+        try:
+            while True:
+                self._follow_controllers()
+                await asyncio.sleep(_WATCH_S)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    async def tell_all(self) -> None:
+        """Tell every controller now, once; used when a planned stop begins."""
+        await asyncio.gather(*(self._join(node, 0, 0) for node in self._view.controllers))
+
+    def _follow_controllers(self) -> None:
+        wanted = set(self._view.controllers)
+        for node in wanted - set(self._tasks):
+            self._tasks[node] = asyncio.create_task(self._stay_joined(node))
+        for node in set(self._tasks) - wanted:
+            self._tasks.pop(node).cancel()
+            self._heard_ms.pop(node, None)
+            self._network.drop_peer(node)
+
+    async def _stay_joined(self, node: str) -> None:
+        """Join one controller again and again."""
+        life, revision = 0, 0
+        failures = 0
+        while True:
+            began_ms = monotonic_ms()
+            reply = await self._join(node, life, revision)
+            if reply is None:
+                failures += 1
+                if failures == _LOST_AFTER:
+                    PEER_LOG.warning("Controller {} does not answer.", node)
+            else:
+                if failures >= _LOST_AFTER:
+                    PEER_LOG.info("Controller {} answers again.", node)
+                failures = 0
+                life, revision = reply.catalog_life, reply.catalog_revision
+            spent_ms = monotonic_ms() - began_ms
+            await asyncio.sleep(max(0.0, self._interval_ms - spent_ms) / 1_000)
+
+    async def _join(self, node: str, life: int, revision: int) -> JoinReply | None:
+        message = Join(self._view.own, self._holder.version, life, revision)
+        try:
+            reply: JoinReply = await self._network.ask(node, message, self._interval_ms)
+        except PeerUnreachableError:
+            return None
+        now_ms = monotonic_ms()
+        self._heard_ms[node] = now_ms
+        for lost in self._view.hear_controller(node, reply, now_ms):
+            CONFIG_LOG.info("Node {} is gone.", lost)
+            self._network.drop_peer(lost)
+        self._merge(reply.workers)
+        if reply.published_version > self._holder.version:
+            await self._holder.catch_up(node, reply.published_version)
+        return reply
+
+    def _on_workers(self, _sender: str, message: WorkersSeen) -> Noted:
+        self._merge(message.workers)
+        return Noted()
+
+    def _merge(self, workers: list[WorkerRecord]) -> None:
+        now_ms = monotonic_ms()
+        for record in workers:
+            self._catalog.merge(record, now_ms)
--- /dev/null
+++ b/src/foldloom/fleet/messages.py
@@ -0,0 +1,214 @@
+# SPDX-License-Identifier: MIT
+"""Messages by which the nodes of an open network find each other and share what all need."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from foldloom.controllers.state import Publication
+from foldloom.peers.messages import register
+from foldloom.workers.records import WorkerRecord
+
+
+class NodeRecord(NamedTuple):
+    """A node as it describes itself.
+
+    Args:
+        node: Its name: the address of its peer socket.
+        life: Its present life.
+        zone: Its zone.
+        role: ``entry`` or ``controller``.
+        label: What people call it.
+        is_leaving: Whether a planned stop began.
+    """
+
+    node: str
+    life: int
+    zone: str
+    role: str
+    label: str = ""
+    is_leaving: bool = False
+
+
+class OwnerRecord(NamedTuple):
+    """Who owns the workers of a zone.
+
+    Args:
+        zone: The zone.
+        token: The fencing token; the highest one holds. 0: nobody is known.
+        node: The owner.
+        life: The owner's life.
+    """
+
+    zone: str
+    token: int = 0
+    node: str = ""
+    life: int = 0
+
+
+class Join(NamedTuple):
+    """A node tells a controller that it lives, and how much it knows.
+
+    Args:
+        record: The node.
+        published_version: The version of the published configuration in force there.
+        catalog_life: The life of the controller whose catalog it has read.
+        catalog_revision: Up to which revision.
+    """
+
+    record: NodeRecord
+    published_version: int
+    catalog_life: int
+    catalog_revision: int
+
+
+class JoinReply(NamedTuple):
+    """What a controller knows.
+
+    Args:
+        controllers: Addresses of all controllers.
+        nodes: The live entry nodes.
+        owners: Who owns which zone's workers.
+        published_version: The newest published version known there.
+        catalog_life: This controller's life.
+        catalog_revision: The revision of its catalog.
+        workers: The workers of the sender's zone that changed since the sender last asked.
+    """
+
+    controllers: list[str]
+    nodes: list[NodeRecord]
+    owners: list[OwnerRecord]
+    published_version: int
+    catalog_life: int
+    catalog_revision: int
+    workers: list[WorkerRecord]
+
+
+class WorkersSeen(NamedTuple):
+    """A controller passes on what workers said, at once."""
+
+    workers: list[WorkerRecord]
+
+
+class Noted(NamedTuple):
+    """Whatever was sent is known now."""
+
+
+class Published(NamedTuple):
+    """A published configuration, pushed or answered."""
+
+    publication: Publication
+
+
+class PullPublished(NamedTuple):
+    """A node asks for what is published above version ``have``."""
+
+    have: int
+
+
+class ReadPublished(NamedTuple):
+    """A controller asks the leader for what is published now, for certain."""
+
+
+class ReadReply(NamedTuple):
+    """The newest publication; only true if ``is_current``."""
+
+    is_current: bool
+    publication: Publication
+
+
+class ZoneLoad(NamedTuple):
+    """How loaded a zone's workers are.
+
+    Args:
+        free_milli: Thousandths of cores that nothing takes, on workers in use.
+        total_milli: All of them.
+        queued_milli: What waits, in thousandths of cores.
+    """
+
+    free_milli: int = 0
+    total_milli: int = 0
+    queued_milli: int = 0
+
+
+class OwnerBeat(NamedTuple):
+    """An owner says that it lives.
+
+    Args:
+        owner: The owner.
+        record: The owner as a node.
+        sent_ms: Its steady clock at sending; sent back in an echo.
+        published_version: The published version in force there.
+        load: How loaded its zone is.
+    """
+
+    owner: OwnerRecord
+    record: NodeRecord
+    sent_ms: int
+    published_version: int = 0
+    load: ZoneLoad = ZoneLoad()
+
+
+class Echo(NamedTuple):
+    """A node grants an owner the right to run its tasks for a while.
+
+    The right lasts for the session time from ``beat_ms`` on, by the owner's clock.
+
+    Args:
+        token: The owner's token that the node knows as the highest.
+        beat_ms: The sending time in the beat that this answers.
+        record: The node.
+        published_version: The published version in force there.
+    """
+
+    token: int
+    beat_ms: int
+    record: NodeRecord
+    published_version: int = 0
+
+
+class HigherToken(NamedTuple):
+    """A node tells an owner that another one has a higher token."""
+
+    owner: OwnerRecord
+
+
+class OwnerQuery(NamedTuple):
+    """A node that does not hear its zone's owner asks who does."""
+
+    zone: str
+
+
+class OwnerAnswer(NamedTuple):
+    """The owner known there, and how long ago it was heard; -1 for never."""
+
+    owner: OwnerRecord
+    silent_ms: int
+
+
+class TakeOver(NamedTuple):
+    """An owner that is stopped as planned hands its zone to another node."""
+
+    owner: OwnerRecord
+
+
+for _kind, _type in enumerate(
+    (
+        Join,
+        JoinReply,
+        WorkersSeen,
+        Noted,
+        Published,
+        PullPublished,
+        ReadPublished,
+        ReadReply,
+        OwnerBeat,
+        Echo,
+        HigherToken,
+        OwnerQuery,
+        OwnerAnswer,
+        TakeOver,
+    ),
+    start=80,
+):
+    register(_kind, _type)
--- /dev/null
+++ b/src/foldloom/fleet/published.py
@@ -0,0 +1,72 @@
+# SPDX-License-Identifier: MIT
+"""The published configuration in force on this node: it only rises."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from foldloom.controllers.state import NO_PUBLICATION, Publication
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.messages import Noted, Published, PullPublished
+from foldloom.logs import CONFIG_LOG
+from foldloom.peers.wire import PeerNetwork
+
+_PULL_TIMEOUT_MS = 800
+
+
+class PublishedHolder:
+    """Hold the newest publication that this node has seen committed.
+
+    Args:
+        network: The peers.
+        on_change: Called with each newer publication, after it is held.
+    """
+
+    def __init__(self, network: PeerNetwork, on_change: Callable[[Publication], None]) -> None:
+        self._network = network
+        self._on_change = on_change
+        self._publication = NO_PUBLICATION
+        self._pulling_from: set[str] = set()
+        network.on(Published, self._on_published)
+        network.on(PullPublished, self._on_pull)
+
+    @property
+    def publication(self) -> Publication:
+        """What is in force here."""
+        return self._publication
+
+    @property
+    def version(self) -> int:
+        """Its version; 0 before the first."""
+        return self._publication.version
+
+    def adopt(self, publication: Publication) -> None:
+        """Put *publication* in force if it is newer."""
+        if publication.version <= self._publication.version:
+            return
+        self._publication = publication
+        CONFIG_LOG.info("Published version {} is in force.", publication.version)
+        self._on_change(publication)
+
+    async def catch_up(self, node: str, version: int) -> None:
+        """Pull from *node* if it has a newer *version* in force."""
+        if version <= self.version or node in self._pulling_from:
+            return
+        self._pulling_from.add(node)
+        try:
+            pull = PullPublished(self.version)
+            reply: Published = await self._network.ask(node, pull, _PULL_TIMEOUT_MS)
+            self.adopt(reply.publication)
+        except PeerUnreachableError:
+            return
+        finally:
+            self._pulling_from.discard(node)
+
+    def _on_published(self, _sender: str, message: Published) -> Noted:
+        self.adopt(message.publication)
+        return Noted()
+
+    def _on_pull(self, _sender: str, message: PullPublished) -> Published:
+        if message.have >= self.version:
+            return Published(NO_PUBLICATION)
+        return Published(self._publication)
--- /dev/null
+++ b/src/foldloom/fleet/publisher.py
@@ -0,0 +1,114 @@
+# SPDX-License-Identifier: MIT
+"""How a controller commits what an operator publishes, and reads the newest for certain."""
+
+from __future__ import annotations
+
+import asyncio
+
+from expression import Error, Ok, Result
+
+from foldloom.controllers.messages import Propose, ProposeReply
+from foldloom.controllers.node import ControllerNode
+from foldloom.controllers.state import Answer, Publication, PublishCommand, encode_command
+from foldloom.exceptions import NotLeaderError, PeerUnreachableError
+from foldloom.fleet.messages import ReadPublished, ReadReply
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.verdicts import Problem, may_have_run, not_run
+
+_PAUSE_S = 0.03
+_TRY_MS = 400.0
+_RETRY_AFTER_MS = 500
+
+
+class Publisher:
+    """Reach the leader from any controller.
+
+    Args:
+        node: This controller.
+        network: The peers.
+    """
+
+    def __init__(self, node: ControllerNode, network: PeerNetwork) -> None:
+        self._node = node
+        self._network = network
+        network.on(ReadPublished, self._on_read)
+
+    async def publish(
+        self, version: int, document: bytes, timeout_ms: float
+    ) -> Result[int, Problem]:
+        """Commit *document* under *version*; return the version held after it.
+
+        A problem says whether it may still be committed.
+        """
+        payload = encode_command(PublishCommand(version, document))
+        deadline_ms = monotonic_ms() + timeout_ms
+        is_unknown = False
+        while (left_ms := deadline_ms - monotonic_ms()) > 0:
+            try:
+                answer = await self._propose(payload, left_ms)
+            except NotLeaderError:
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            except PeerUnreachableError:
+                is_unknown = True
+                continue
+            return Ok(answer.version)
+        detail = "no majority of the controllers answered"
+        if is_unknown:
+            return Error(may_have_run("no-quorum", detail, _RETRY_AFTER_MS, status=503))
+        return Error(not_run("no-quorum", detail, _RETRY_AFTER_MS))
+
+    async def newest(self, timeout_ms: float) -> Result[Publication, Problem]:
+        """Return what is published now, for certain."""
+        deadline_ms = monotonic_ms() + timeout_ms
+        while (left_ms := deadline_ms - monotonic_ms()) > 0:
+            reply = await self._read(min(left_ms, _TRY_MS))
+            if reply is not None and reply.is_current:
+                return Ok(reply.publication)
+            await asyncio.sleep(_PAUSE_S)
+        return Error(not_run("no-quorum", "no leader could show the newest", _RETRY_AFTER_MS))
+
+    async def _propose(self, payload: bytes, left_ms: float) -> Answer:
+        """Propose once.
+
+        Raises:
+            NotLeaderError: No leader is known, or the one asked does not lead.
+            PeerUnreachableError: It may be committed.
+        """
+        if self._node.is_leading:
+            try:
+                async with asyncio.timeout(left_ms / 1_000):
+                    return await self._node.propose(payload)
+            except TimeoutError:
+                raise PeerUnreachableError("not committed in time") from None
+        leader = self._node.leader
+        if not leader:
+            raise NotLeaderError
+        reply: ProposeReply = await self._network.ask(leader, Propose(payload), left_ms)
+        if reply.answer is not None:
+            return reply.answer
+        if reply.is_unknown:
+            raise PeerUnreachableError("the leader could not tell")
+        raise NotLeaderError(reply.leader)
+
+    async def _read(self, left_ms: float) -> ReadReply | None:
+        leader = self._node.leader
+        if not leader:
+            return None
+        if self._node.is_leading:
+            return await self._read_here()
+        try:
+            reply: ReadReply = await self._network.ask(leader, ReadPublished(), left_ms)
+        except PeerUnreachableError:
+            return None
+        return reply
+
+    async def _read_here(self) -> ReadReply:
+        try:
+            await self._node.barrier()
+        except NotLeaderError:
+            return ReadReply(False, Publication(0, b""))
+        return ReadReply(True, self._node.state.publication)
+
+    async def _on_read(self, _sender: str, _message: ReadPublished) -> ReadReply:
+        return await self._read_here()
--- /dev/null
+++ b/src/foldloom/fleet/registry.py
@@ -0,0 +1,195 @@
+# SPDX-License-Identifier: MIT
+"""A controller's soft state: the nodes that joined, the workers heard, who owns which zone.
+
+Nothing here is kept on disk or agreed upon: every controller hears the nodes itself, and
+workers report to any of them, which passes their words on at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+from foldloom.controllers.state import Publication
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.messages import (
+    Join,
+    JoinReply,
+    NodeRecord,
+    OwnerAnswer,
+    OwnerBeat,
+    OwnerQuery,
+    OwnerRecord,
+    Published,
+    WorkersSeen,
+)
+from foldloom.fleet.published import PublishedHolder
+from foldloom.logs import WORKER_LOG
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import ENTRY
+from foldloom.workers.catalog import WorkerCatalog
+from foldloom.workers.records import WorkerRecord, WorkerState
+
+_LIVE_MS = 1_500.0
+_FORGET_MS = 10_000.0
+_WORKER_SILENT_MS = 12_000.0
+_TELL_TIMEOUT_MS = 350
+_TIDY_S = 1.0
+
+
+class _Joined(NamedTuple):
+    """A node that joined, and when it was heard."""
+
+    record: NodeRecord
+    heard_ms: float
+
+
+class _Heard(NamedTuple):
+    """An owner, and when its beat was heard."""
+
+    owner: OwnerRecord
+    heard_ms: float
+
+
+class Registry:
+    """Answer joins, keep the list of workers, push what is new.
+
+    Args:
+        network: The peers.
+        holder: The published configuration as this controller knows it.
+        controllers: Returns the addresses of all controllers.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        holder: PublishedHolder,
+        controllers: Callable[[], list[str]],
+    ) -> None:
+        self._network = network
+        self._holder = holder
+        self._controllers = controllers
+        self._catalog = WorkerCatalog()
+        self._joined: dict[str, _Joined] = {}
+        self._owners: dict[str, _Heard] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        network.on(Join, self._on_join)
+        network.on(OwnerBeat, self._on_owner_beat)
+        network.on(OwnerQuery, self._on_owner_query)
+
+    @property
+    def catalog(self) -> WorkerCatalog:
+        """The workers that reported here."""
+        return self._catalog
+
+    async def run(self) -> None:
+        """Forget nodes and workers that fell silent, until cancelled."""
+        while True:
+            await asyncio.sleep(_TIDY_S)
+            now_ms = monotonic_ms()
+            for node in [
+                node for node, known in self._joined.items() if now_ms - known.heard_ms > _FORGET_MS
+            ]:
+                del self._joined[node]
+                if node not in self._controllers():
+                    self._network.drop_peer(node)
+            for worker in self._catalog.silent_since(now_ms - _WORKER_SILENT_MS):
+                self._catalog.forget(worker)
+
+    def push(self, publication: Publication) -> None:
+        """Send a newer publication to every live entry node at once."""
+        for record in self._live_entries():
+            self._spawn(self._tell(record.node, Published(publication)))
+
+    async def note_worker(self, record: WorkerRecord) -> None:
+        """Take a worker's heartbeat; what it changes is known in its zone when this returns.
+
+        A zone's nodes that can't be reached learn it by their next join.
+        """
+        now_ms = monotonic_ms()
+        if not self._catalog.merge(record, now_ms):
+            return
+        WORKER_LOG.info(
+            "Worker {} of {} at {}: {}.",
+            record.worker,
+            record.service,
+            record.address,
+            record.state.value,
+        )
+        newest = self._catalog.get(record.worker)
+        if newest is not None:
+            await self._tell_zone(newest)
+
+    async def note_gone(self, worker: str) -> None:
+        """Take a worker's farewell."""
+        if not self._catalog.remove(worker, monotonic_ms()):
+            return
+        WORKER_LOG.info("Worker {} has left.", worker)
+        newest = self._catalog.get(worker)
+        if newest is not None:
+            await self._tell_zone(newest)
+
+    async def _tell_zone(self, record: WorkerRecord) -> None:
+        told = [
+            self._tell(entry.node, WorkersSeen([record]))
+            for entry in self._live_entries()
+            if entry.zone == record.zone
+        ]
+        # A ready worker may wait for the next join; a leaving one must not be given work.
+        if record.state is WorkerState.READY:
+            for telling in told:
+                self._spawn(telling)
+            return
+        await asyncio.gather(*told)
+
+    async def _tell(self, node: str, message: object) -> None:
+        try:
+            await self._network.ask(node, message, _TELL_TIMEOUT_MS)
+        except PeerUnreachableError:
+            return
+
+    def _live_entries(self) -> list[NodeRecord]:
+        now_ms = monotonic_ms()
+        return [
+            known.record
+            for known in self._joined.values()
+            if known.record.role == ENTRY and now_ms - known.heard_ms < _LIVE_MS
+        ]
+
+    def _on_join(self, _sender: str, message: Join) -> JoinReply:
+        record = message.record
+        now_ms = monotonic_ms()
+        self._joined[record.node] = _Joined(record, now_ms)
+        life = self._network.incarnation
+        known_revision = message.catalog_revision if message.catalog_life == life else 0
+        workers = [
+            worker
+            for worker in self._catalog.changes_since(known_revision)
+            if worker.zone == record.zone
+        ]
+        return JoinReply(
+            controllers=self._controllers(),
+            nodes=self._live_entries(),
+            owners=[known.owner for known in self._owners.values()],
+            published_version=self._holder.version,
+            catalog_life=life,
+            catalog_revision=self._catalog.revision,
+            workers=workers,
+        )
+
+    def _on_owner_beat(self, _sender: str, beat: OwnerBeat) -> None:
+        known = self._owners.get(beat.owner.zone)
+        if known is None or beat.owner.token >= known.owner.token:
+            self._owners[beat.owner.zone] = _Heard(beat.owner, monotonic_ms())
+
+    def _on_owner_query(self, _sender: str, query: OwnerQuery) -> OwnerAnswer:
+        known = self._owners.get(query.zone)
+        if known is None:
+            return OwnerAnswer(OwnerRecord(query.zone), -1)
+        return OwnerAnswer(known.owner, int(monotonic_ms() - known.heard_ms))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/foldloom/jobs/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""Jobs of steps: checked, run and answered."""
--- /dev/null
+++ b/src/foldloom/nodes/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""The nodes of an open network, put together."""
--- /dev/null
+++ b/src/foldloom/nodes/controller.py
@@ -0,0 +1,134 @@
+# SPDX-License-Identifier: MIT
+"""A controller of an open network: it keeps what is published and hears the workers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from expression import Result
+
+from foldloom.controllers.config import empty_config
+from foldloom.controllers.leadership import ANY_STORAGE
+from foldloom.controllers.node import ControllerNode
+from foldloom.controllers.state import Publication
+from foldloom.controllers.storage import format_folder
+from foldloom.fleet.joiner import Joiner
+from foldloom.fleet.messages import NodeRecord
+from foldloom.fleet.published import PublishedHolder
+from foldloom.fleet.publisher import Publisher
+from foldloom.fleet.registry import Registry
+from foldloom.fleet.view import FleetView
+from foldloom.ids import new_incarnation
+from foldloom.logs import CONFIG_LOG, CONTROLLER_LOG
+from foldloom.metrics import Metrics
+from foldloom.peers.wire import PeerNetwork
+from foldloom.settings import CONTROLLER, Settings
+from foldloom.verdicts import Problem
+from foldloom.workers.catalog import WorkerCatalog
+from foldloom.workers.records import WorkerRecord
+
+
+class ControllerHost:
+    """Everything that runs on a controller, but its HTTP.
+
+    Args:
+        settings: This node's settings.
+        is_first_start: Whether the whole system starts for the first time; the seeds found it.
+        label: What people call this node.
+    """
+
+    def __init__(self, settings: Settings, is_first_start: bool, label: str = "") -> None:
+        self._settings = settings
+        self._metrics = Metrics(settings.statsd)
+        self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
+        own = NodeRecord(settings.box, self._network.incarnation, settings.zone, CONTROLLER, label)
+        self._view = FleetView(own, settings.seeds)
+        self._holder = PublishedHolder(self._network, self._on_publication)
+        self._registry = Registry(self._network, self._holder, self._controllers)
+        is_founder = is_first_start and settings.box in settings.seeds
+        _format_if_new(settings.data_folder, is_founder)
+        founders = dict.fromkeys(settings.seeds, ANY_STORAGE) if is_founder else {}
+        self._node = ControllerNode(
+            settings,
+            self._network,
+            self._metrics,
+            empty_config({}, founders),
+            lambda _config, _changes: None,
+            self._holder.adopt,
+        )
+        self._publisher = Publisher(self._node, self._network)
+        self._joiner = Joiner(
+            self._network, self._view, self._holder, WorkerCatalog(), settings.timings.join_ms
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def metrics(self) -> Metrics:
+        """This node's counters."""
+        return self._metrics
+
+    @property
+    def published_version(self) -> int:
+        """The newest published version known here, for certain or not."""
+        return self._holder.version
+
+    async def start(self) -> None:
+        """Start every part."""
+        await self._network.start()
+        self._spawn(self._node.run())
+        self._spawn(self._registry.run())
+        self._spawn(self._joiner.run())
+        CONTROLLER_LOG.info("Controller {} is up.", self._view.own.label)
+
+    async def publish(
+        self, version: int, document: bytes, timeout_ms: float
+    ) -> Result[int, Problem]:
+        """Commit a document; return the version held after it."""
+        return await self._publisher.publish(version, document, timeout_ms)
+
+    async def newest(self, timeout_ms: float) -> Result[Publication, Problem]:
+        """Return what is published now, for certain."""
+        return await self._publisher.newest(timeout_ms)
+
+    async def note_worker(self, record: WorkerRecord) -> None:
+        """Take a worker's heartbeat."""
+        await self._registry.note_worker(record)
+
+    async def note_gone(self, worker: str) -> None:
+        """Take a worker's farewell."""
+        await self._registry.note_gone(worker)
+
+    def follow_seeds(self, seeds: list[str]) -> None:
+        """Take new seeds from reloaded settings."""
+        self._view.set_seeds(seeds)
+        CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
+
+    async def stop(self) -> None:
+        """End every part."""
+        self._view.set_leaving()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._node.stop()
+        await self._network.stop()
+        CONTROLLER_LOG.info("Controller {} has stopped.", self._view.own.label)
+
+    def _controllers(self) -> list[str]:
+        return sorted({self._settings.box, *self._node.controllers})
+
+    def _on_publication(self, publication: Publication) -> None:
+        self._registry.push(publication)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _format_if_new(folder: str, is_founder: bool) -> None:
+    """Make a data folder at a first start; later an empty one is lost memory."""
+    if not (Path(folder) / "identity").exists():
+        format_folder(folder, is_first=is_founder)
--- /dev/null
+++ b/src/foldloom/nodes/entry.py
@@ -0,0 +1,152 @@
+# SPDX-License-Identifier: MIT
+"""An entry node of an open network: it takes jobs, and may own its zone's workers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from foldloom.controllers.state import Publication
+from foldloom.entry.job_runner import JobDesk, JobResult
+from foldloom.fleet.joiner import Joiner
+from foldloom.fleet.messages import NodeRecord, OwnerBeat, OwnerRecord
+from foldloom.fleet.published import PublishedHolder
+from foldloom.fleet.view import FleetView
+from foldloom.ids import new_incarnation
+from foldloom.jobs.queues import Queue, QueueTable
+from foldloom.jobs.spec import Job
+from foldloom.logs import CONFIG_LOG, ENTRY_LOG
+from foldloom.metrics import Metrics
+from foldloom.owners.client import OwnerClient
+from foldloom.owners.elector import Elector
+from foldloom.owners.zone_owner import ZoneOwner
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import ENTRY, Settings
+from foldloom.workers.calls import WorkerCalls
+from foldloom.workers.catalog import WorkerCatalog
+
+_OWNER_LOST_MS = 1_500.0
+_IDLE_CHECK_S = 0.05
+
+ReadQueues = Callable[[Publication], QueueTable]
+
+
+class EntryNode:
+    """Everything that runs on an entry node, but its HTTP.
+
+    Args:
+        settings: This node's settings.
+        calls: How workers are called.
+        read_queues: Returns the queues that a published document names.
+        label: What people call this node.
+    """
+
+    def __init__(
+        self, settings: Settings, calls: WorkerCalls, read_queues: ReadQueues, label: str = ""
+    ) -> None:
+        self._settings = settings
+        self._calls = calls
+        self._read_queues = read_queues
+        self._queues: QueueTable | None = None
+        self._metrics = Metrics(settings.statsd)
+        self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
+        own = NodeRecord(
+            settings.box, self._network.incarnation, settings.zone, ENTRY, label or settings.box
+        )
+        self._view = FleetView(own, settings.seeds)
+        self._holder = PublishedHolder(self._network, self._on_publication)
+        self._catalog = WorkerCatalog()
+        self._started_ms = monotonic_ms()
+        self._joiner = Joiner(
+            self._network, self._view, self._holder, self._catalog, settings.timings.join_ms
+        )
+        self._client = OwnerClient(self._view, self._network, settings.timings)
+        self._desk = JobDesk(self._client, self._metrics)
+        self._elector = Elector(
+            self._view, self._network, settings.timings, self._make_owner, self._on_beat
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def queues(self) -> QueueTable | None:
+        """The queues in force, or ``None`` before the first configuration."""
+        return self._queues
+
+    @property
+    def metrics(self) -> Metrics:
+        """This node's counters."""
+        return self._metrics
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        if self._view.own.is_leaving or self._queues is None:
+            return False
+        return self._client.silent_ms < _OWNER_LOST_MS
+
+    async def start(self) -> None:
+        """Start every part."""
+        await self._network.start()
+        self._spawn(self._joiner.run())
+        self._spawn(self._elector.run())
+        ENTRY_LOG.info("Entry node {} of zone {} is up.", self._view.own.label, self._view.own.zone)
+
+    async def run_job(self, job: Job, queue: Queue, timeout_ms: float) -> JobResult:
+        """Run *job* and return its result, at the latest after *timeout_ms*."""
+        return await self._desk.run(job, queue, monotonic_ms() + timeout_ms)
+
+    def follow_seeds(self, seeds: list[str]) -> None:
+        """Take new seeds from reloaded settings."""
+        self._view.set_seeds(seeds)
+        CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
+
+    async def drain(self) -> None:
+        """Begin a planned stop: hand ownership over, then end what is in flight."""
+        self._view.set_leaving()
+        heir = self._elector.hand_over()
+        ENTRY_LOG.info("A planned stop begins; zone handed to {}.", heir or "nobody")
+        await self._joiner.tell_all()
+        try:
+            async with asyncio.timeout(self._settings.timings.stop_timeout_ms / 1_000):
+                await asyncio.sleep(self._settings.timings.drain_ms / 1_000)
+                while self._desk.running_count:
+                    await asyncio.sleep(_IDLE_CHECK_S)
+        except TimeoutError:
+            ENTRY_LOG.warning("The planned stop cuts {} jobs.", self._desk.running_count)
+
+    async def stop(self) -> None:
+        """End every part."""
+        self._elector.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._network.stop()
+        ENTRY_LOG.info("Entry node {} has stopped.", self._view.own.label)
+
+    def _on_publication(self, publication: Publication) -> None:
+        self._queues = self._read_queues(publication)
+
+    def _on_beat(self, beat: OwnerBeat) -> None:
+        self._client.hear_beat(beat, self._holder.version)
+        if beat.published_version > self._holder.version:
+            self._spawn(self._holder.catch_up(beat.owner.node, beat.published_version))
+
+    def _make_owner(self, record: OwnerRecord) -> ZoneOwner:
+        return ZoneOwner(
+            record,
+            self._view,
+            self._network,
+            self._calls,
+            self._catalog,
+            self._settings.timings,
+            self._metrics,
+            lambda: self._holder.version,
+            self._elector.note_fenced,
+            lambda: monotonic_ms() - self._started_ms,
+        )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/foldloom/owners/sessions.py
@@ -0,0 +1,117 @@
+# SPDX-License-Identifier: MIT
+"""The rights that nodes grant an owner, and what each of them is still to be told.
+
+A node answers each beat of its owner with an echo of the beat's sending time. The owner may
+run that node's tasks for the session time from then on, by its own clock. The node, counting
+from when it sent the echo, knows a later time at which that right has ended for certain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.owners.messages import RunEnd, RunsEnded
+from foldloom.peers.wire import PeerNetwork
+from foldloom.scheduling.runs import HolderId
+
+_ACK_TIMEOUT_MS = 150
+_ENDS_AT_ONCE = 200
+
+
+class Session:
+    """One node's grant.
+
+    Args:
+        holder: The node's life.
+        token: The owner's token.
+        network: The peers.
+    """
+
+    def __init__(self, holder: HolderId, token: int, network: PeerNetwork) -> None:
+        self.holder = holder
+        self.right_until_ms = 0.0
+        self._token = token
+        self._network = network
+        self._untold: list[RunEnd] = []
+        self._has_untold = asyncio.Event()
+
+    def tell(self, end: RunEnd) -> None:
+        """Queue an end for the node."""
+        self._untold.append(end)
+        self._has_untold.set()
+
+    async def run(self) -> None:
+        """Tell the node of ends, each until it is acknowledged, until cancelled."""
+        while True:
+            await self._has_untold.wait()
+            ends = self._untold[:_ENDS_AT_ONCE]
+            try:
+                message = RunsEnded(self._token, ends)
+                await self._network.ask(self.holder.node, message, _ACK_TIMEOUT_MS)
+            except PeerUnreachableError:
+                continue
+            del self._untold[: len(ends)]
+            if not self._untold:
+                self._has_untold.clear()
+
+
+class Sessions:
+    """All sessions of one owner.
+
+    Args:
+        token: The owner's token.
+        network: The peers.
+        session_ms: How long an echo grants the right.
+    """
+
+    def __init__(self, token: int, network: PeerNetwork, session_ms: float) -> None:
+        self._token = token
+        self._network = network
+        self._session_ms = session_ms
+        self._sessions: dict[HolderId, Session] = {}
+        self._tasks: dict[HolderId, asyncio.Task[None]] = {}
+
+    def has_right(self, holder: HolderId, now_ms: float) -> bool:
+        """Return whether runs of *holder* may be started and kept now."""
+        session = self._sessions.get(holder)
+        return session is not None and now_ms < session.right_until_ms
+
+    def grant(self, holder: HolderId, beat_ms: float) -> None:
+        """Take an echo of the beat sent at *beat_ms*, own clock."""
+        session = self._sessions.get(holder)
+        if session is None:
+            session = Session(holder, self._token, self._network)
+            self._sessions[holder] = session
+            self._tasks[holder] = asyncio.create_task(session.run())
+        session.right_until_ms = max(session.right_until_ms, beat_ms + self._session_ms)
+
+    def tell(self, holder: HolderId, end: RunEnd) -> None:
+        """Queue an end for *holder*; one without a session is gone and hears nothing."""
+        session = self._sessions.get(holder)
+        if session is not None:
+            session.tell(end)
+
+    def end_lapsed(self, now_ms: float) -> list[HolderId]:
+        """End the sessions whose right is over and return them."""
+        lapsed = [
+            holder for holder, session in self._sessions.items() if now_ms >= session.right_until_ms
+        ]
+        self._end(lapsed)
+        return lapsed
+
+    def end_other_lives(self, holder: HolderId) -> list[HolderId]:
+        """End the sessions of earlier lives of a node and return them."""
+        earlier = [one for one in self._sessions if one.node == holder.node and one != holder]
+        self._end(earlier)
+        return earlier
+
+    def close(self) -> None:
+        """End all."""
+        self._end(list(self._sessions))
+
+    def _end(self, holders: Iterable[HolderId]) -> None:
+        for holder in list(holders):
+            del self._sessions[holder]
+            self._tasks.pop(holder).cancel()
--- /dev/null
+++ b/src/foldloom/owners/state.py
@@ -0,0 +1,487 @@
+# SPDX-License-Identifier: MIT
+"""An owner's state: runs, workers, sessions. Nothing here waits, sends or reads a clock.
+
+Events come in as calls; what must be done is collected and taken by the caller. The promise
+that holds here: of one task at most one run is present, and another one starts only once the
+one before is certainly on no worker.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.owners.messages import (
+    EndCause,
+    RunEnd,
+    RunOrder,
+    SubmitReply,
+    SubmitRuns,
+    SubmitStatus,
+)
+from foldloom.scheduling.placing import place
+from foldloom.scheduling.runs import HolderId, Run, RunSpec, RunState, TraceBound
+from foldloom.scheduling.speeds import WorkerSpeeds
+from foldloom.scheduling.waiting import WaitingRuns
+from foldloom.scheduling.workers import Candidate, ForeignRun
+from foldloom.workers.calls import ActiveRun, CallOutcome, EndedRun, EndKind
+from foldloom.workers.records import WorkerRecord
+
+_FOREIGN_GRACE_MS = 300.0
+_NUMBERS_KEPT_MS = 6_000.0
+_NO_ROOM_PAUSE_MS = 30.0
+_UNHEALTHY_PAUSE_MS = 300.0
+
+_CAUSES = {
+    EndKind.DONE: EndCause.DONE,
+    EndKind.FAILED: EndCause.FAILED,
+    EndKind.STOPPED: EndCause.STOPPED,
+    EndKind.LAPSED: EndCause.LAPSED,
+    EndKind.BROKEN: EndCause.FAILED,
+    EndKind.ALONE: EndCause.FAILED,
+}
+
+
+class StartAction(NamedTuple):
+    """Start *run_id* on *worker*."""
+
+    run_id: RunId
+    worker: str
+    text: str
+
+
+class StopAction(NamedTuple):
+    """Stop *run_id* on *worker*."""
+
+    run_id: RunId
+    worker: str
+
+
+class EndAction(NamedTuple):
+    """Tell *holder* of *end*."""
+
+    holder: HolderId
+    end: RunEnd
+
+
+class _Past(NamedTuple):
+    """The last run of a task, when it ended, and how if a later owner should tell."""
+
+    number: int
+    ended_ms: float
+    end: RunEnd | None
+
+
+class OwnerState:
+    """The runs of one zone's workers.
+
+    Args:
+        gone_after_ms: How long after an owner lost the right to a run it may still be there.
+    """
+
+    def __init__(self, gone_after_ms: float) -> None:
+        self._gone_after_ms = gone_after_ms
+        self._knows_all_workers = False
+        self._runs: dict[TaskId, Run] = {}
+        self._tasks_of_job: dict[str, set[TaskId]] = {}
+        self._past: dict[TaskId, _Past] = {}
+        self._candidates: dict[str, Candidate] = {}
+        self._looked_ms: dict[str, float] = {}
+        self._waiting = WaitingRuns()
+        self._speeds = WorkerSpeeds()
+        self._starts: list[StartAction] = []
+        self._stops: list[StopAction] = []
+        self._ends: list[EndAction] = []
+
+    @property
+    def candidates(self) -> dict[str, Candidate]:
+        """The workers by id."""
+        return self._candidates
+
+    @property
+    def waiting(self) -> WaitingRuns:
+        """The runs that wait for room."""
+        return self._waiting
+
+    @property
+    def run_count(self) -> int:
+        """How many runs are known."""
+        return len(self._runs)
+
+    def run_of(self, task: TaskId) -> Run | None:
+        """Return the present run of *task*, if any."""
+        return self._runs.get(task)
+
+    def take_starts(self) -> list[StartAction]:
+        """Return and clear what is to be started."""
+        taken, self._starts = self._starts, []
+        return taken
+
+    def take_stops(self) -> list[StopAction]:
+        """Return and clear what is to be stopped."""
+        taken, self._stops = self._stops, []
+        return taken
+
+    def take_ends(self) -> list[EndAction]:
+        """Return and clear who is to be told of which end."""
+        taken, self._ends = self._ends, []
+        return taken
+
+    # Runs that nodes hand in and take back.
+
+    def submit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
+        """Take the runs of *message*; those that are known already are attached to."""
+        spec = RunSpec(
+            job_id=message.job_id,
+            service=message.service,
+            text=message.spec,
+            demand=message.demand,
+            placement=message.placement,
+            priority=message.priority,
+            estimate_ms=message.estimate_ms,
+            aim_ms=now_ms + message.aim_ms,
+            late_ms=now_ms + message.late_ms,
+            deadline_ms=now_ms + message.deadline_ms,
+        )
+        bound = TraceBound(
+            now_ms + message.old_right_ms,
+            now_ms + message.old_right_ms + self._gone_after_ms,
+        )
+        for order in message.orders:
+            task = TaskId(message.job_id, message.repeat, order.step, order.number)
+            self._take(holder, task, spec, order, bound, now_ms)
+        return SubmitReply(SubmitStatus.TAKEN)
+
+    def cancel(self, holder: HolderId, job_id: str, now_ms: float) -> None:
+        """Drop what *holder* wants of a job."""
+        for task in list(self._tasks_of_job.get(job_id, ())):
+            self._let_go(holder, task, now_ms)
+
+    def end_session(self, holder: HolderId, now_ms: float) -> None:
+        """Drop everything that *holder* wants: it has no right to run any more."""
+        for task, run in list(self._runs.items()):
+            if holder in run.holders:
+                self._let_go(holder, task, now_ms)
+
+    # Workers.
+
+    def trust_catalog(self) -> None:
+        """Note that every worker that an earlier owner knew is known here."""
+        self._knows_all_workers = True
+
+    def follow_worker(self, record: WorkerRecord) -> None:
+        """Know a worker, or a newer record of it."""
+        known = self._candidates.get(record.worker)
+        if known is None:
+            self._candidates[record.worker] = Candidate(record)
+            return
+        known.follow(record)
+
+    def drop_worker(self, worker: str, now_ms: float) -> None:
+        """Forget a worker whose life is certainly over: nothing runs there any more."""
+        self.note_lapsed(worker, now_ms)
+        self._candidates.pop(worker, None)
+        self._looked_ms.pop(worker, None)
+        self._speeds.forget(worker)
+
+    def distrust(self, worker: str) -> None:
+        """Give a worker no more work until it has been looked at again."""
+        candidate = self._candidates.get(worker)
+        if candidate is not None:
+            candidate.is_trusted = False
+
+    def note_lapsed(self, worker: str, now_ms: float) -> None:
+        """Note that every lease on *worker* has ended for certain."""
+        candidate = self._candidates.get(worker)
+        if candidate is None:
+            return
+        candidate.is_trusted = False
+        candidate.foreign.clear()
+        for task in candidate.room.tasks:
+            run = self._runs.get(task)
+            if run is None or run.worker != worker:
+                candidate.room.release(task)
+                continue
+            self._finish(run, EndCause.LAPSED, "", now_ms)
+
+    def has_overdue_stop(self, worker: str, before_ms: float) -> bool:
+        """Return whether a run there was to be stopped before *before_ms* and is still listed."""
+        candidate = self._candidates.get(worker)
+        if candidate is None:
+            return False
+        present = (self._runs.get(task) for task in candidate.room.tasks)
+        return any(
+            run is not None and run.state is RunState.STOPPING and run.since_ms < before_ms
+            for run in present
+        )
+
+    def report(
+        self,
+        worker: str,
+        active: tuple[ActiveRun, ...],
+        ended: tuple[EndedRun, ...],
+        looked_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take a worker's lists; the look was sent at *looked_ms*."""
+        candidate = self._candidates.get(worker)
+        if candidate is None:
+            return
+        for end in ended:
+            self._note_end(candidate, end, now_ms)
+        present = {one.run_id for one in active}
+        self._compare(candidate, present, looked_ms, now_ms)
+        self._looked_ms[worker] = looked_ms
+        candidate.is_trusted = True
+
+    def note_start(self, run_id: RunId, worker: str, outcome: CallOutcome, now_ms: float) -> None:
+        """Take the answer to an order to start."""
+        run = self._runs.get(run_id.task)
+        if run is None or run.number != run_id.run or run.worker != worker:
+            return
+        if outcome is CallOutcome.DONE:
+            if run.state is RunState.STARTING:
+                run.enter(RunState.RUNNING, now_ms, worker)
+            return
+        if outcome is CallOutcome.UNKNOWN:
+            # It may be carried out at any time until the lease in the order has passed; the
+            # stop keeps it from starting, and the next look tells whether it has started.
+            self._stop(run, now_ms)
+            return
+        self._release(run)
+        if run.state is RunState.STOPPING:
+            self._finish(run, EndCause.STOPPED, "", now_ms)
+            return
+        self._start_again(run, outcome, worker, now_ms)
+
+    def note_stop(self, run_id: RunId, worker: str, outcome: CallOutcome, now_ms: float) -> None:
+        """Take the answer to an order to stop."""
+        run = self._runs.get(run_id.task)
+        if run is None or run.number != run_id.run or run.worker != worker:
+            return
+        if run.state is not RunState.STOPPING:
+            return
+        if outcome is CallOutcome.DONE:
+            run.stop_known_ms = now_ms
+
+    def stops_to_repeat(self, before_ms: float, now_ms: float) -> list[StopAction]:
+        """Return the stops that no worker has confirmed since *before_ms*."""
+        repeated = []
+        for run in self._runs.values():
+            if run.state is not RunState.STOPPING or run.stop_known_ms:
+                continue
+            if run.stop_sent_ms < before_ms:
+                run.stop_sent_ms = now_ms
+                repeated.append(StopAction(run.run_id, run.worker))
+        return repeated
+
+    def tick(self, now_ms: float) -> None:
+        """Do what time alone brings: lost traces, strangers to stop, old numbers to forget."""
+        self._end_traces(now_ms)
+        self._stop_foreign(now_ms)
+        while self._past:
+            task = next(iter(self._past))
+            if now_ms - self._past[task].ended_ms < _NUMBERS_KEPT_MS:
+                break
+            del self._past[task]
+
+    def place(self, now_ms: float) -> None:
+        """Start what there is room for."""
+        if not len(self._waiting):
+            return
+        for run, worker in place(self._waiting, self._candidates, self._speeds, now_ms):
+            run.enter(RunState.STARTING, now_ms, worker)
+            self._starts.append(StartAction(run.run_id, worker, run.spec.text))
+
+    def _take(
+        self,
+        holder: HolderId,
+        task: TaskId,
+        spec: RunSpec,
+        order: RunOrder,
+        bound: TraceBound,
+        now_ms: float,
+    ) -> None:
+        known = self._runs.get(task)
+        if known is not None:
+            known.holders.add(holder)
+            return
+        past = self._past.get(task)
+        if past is not None and past.end is not None and order.is_resumed:
+            self._ends.append(EndAction(holder, past.end))
+            return
+        number = order.run
+        if past is not None:
+            number = max(number, past.number + 1)
+        state = RunState.TRACED if order.is_resumed else RunState.QUEUED
+        run = Run(task, number, spec, state, now_ms)
+        run.holders.add(holder)
+        run.traced_until = bound
+        self._runs[task] = run
+        self._tasks_of_job.setdefault(task.job_id, set()).add(task)
+        if state is RunState.QUEUED:
+            self._waiting.add(run)
+        else:
+            self._adopt_foreign(run, now_ms)
+
+    def _adopt_foreign(self, run: Run, now_ms: float) -> None:
+        """Take over a run that a worker lists already, if one does."""
+        for worker, candidate in self._candidates.items():
+            foreign = candidate.foreign.get(run.task)
+            if foreign is None:
+                continue
+            run.number = foreign.number
+            del candidate.foreign[run.task]
+            candidate.room.release(run.task)
+            candidate.room.charge(run.task, run.spec.demand)
+            run.enter(RunState.RUNNING, now_ms, worker)
+            return
+
+    def _let_go(self, holder: HolderId, task: TaskId, now_ms: float) -> None:
+        run = self._runs[task]
+        run.holders.discard(holder)
+        if run.holders:
+            return
+        if run.state in (RunState.QUEUED, RunState.TRACED):
+            self._forget(run)
+            return
+        if run.state is not RunState.STOPPING:
+            self._stop(run, now_ms)
+
+    def _stop(self, run: Run, now_ms: float) -> None:
+        worker = run.worker
+        run.enter(RunState.STOPPING, now_ms, worker)
+        run.stop_sent_ms = now_ms
+        self._stops.append(StopAction(run.run_id, worker))
+
+    def _start_again(self, run: Run, outcome: CallOutcome, worker: str, now_ms: float) -> None:
+        """Queue a run that certainly did not start."""
+        candidate = self._candidates.get(worker)
+        if outcome is CallOutcome.OLD_RUN:
+            run.number += 1
+        elif outcome is CallOutcome.INVALID:
+            self._finish(run, EndCause.REFUSED, "", now_ms)
+            return
+        elif outcome is CallOutcome.OTHER_LIFE:
+            self.distrust(worker)
+        elif candidate is not None:
+            pause = _UNHEALTHY_PAUSE_MS if outcome is CallOutcome.REFUSED else _NO_ROOM_PAUSE_MS
+            candidate.blocked_until_ms = now_ms + pause
+        run.enter(RunState.QUEUED, now_ms)
+        self._waiting.add(run)
+
+    def _note_end(self, candidate: Candidate, end: EndedRun, now_ms: float) -> None:
+        worker = candidate.record.worker
+        task = end.run_id.task
+        run = self._runs.get(task)
+        candidate.foreign.pop(task, None)
+        if run is None:
+            self._remember(task, end, worker, now_ms)
+            return
+        if run.number > end.run_id.run:
+            return
+        if run.state is RunState.TRACED or run.worker == worker:
+            run.number = end.run_id.run
+            run.worker = worker
+            self._finish(run, _CAUSES[end.how], end.checkpoint, now_ms)
+
+    def _remember(self, task: TaskId, end: EndedRun, worker: str, now_ms: float) -> None:
+        """Keep an end that nobody waits for now; an earlier owner's node may ask for it."""
+        known = self._past.get(task)
+        if known is not None and known.number >= end.run_id.run:
+            return
+        told = RunEnd(end.run_id, _CAUSES[end.how], worker, 0, end.checkpoint)
+        self._past.pop(task, None)
+        self._past[task] = _Past(end.run_id.run, now_ms, told)
+
+    def _compare(
+        self, candidate: Candidate, present: set[RunId], looked_ms: float, now_ms: float
+    ) -> None:
+        """Hold what a worker lists as present against what is thought to be there."""
+        worker = candidate.record.worker
+        for run_id in present:
+            run = self._runs.get(run_id.task)
+            if run is not None and run.state is RunState.TRACED:
+                run.number = run_id.run
+                candidate.room.charge(run.task, run.spec.demand)
+                run.enter(RunState.RUNNING, now_ms, worker)
+            elif run is None or run.worker != worker or run.number != run_id.run:
+                candidate.foreign.setdefault(run_id.task, ForeignRun(run_id.run, now_ms))
+        listed = {run_id.task for run_id in present}
+        for task in list(candidate.foreign):
+            if task not in listed:
+                del candidate.foreign[task]
+        for task in candidate.room.tasks:
+            run = self._runs.get(task)
+            if run is None or run.worker != worker:
+                candidate.room.release(task)
+            elif run.run_id not in present and max(run.since_ms, run.stop_known_ms) < looked_ms:
+                self._note_absent(run, now_ms)
+
+    def _note_absent(self, run: Run, now_ms: float) -> None:
+        """Judge a run of which a look, sent after its order, lists neither run nor end."""
+        if run.state is RunState.RUNNING:
+            self._finish(run, EndCause.LOST, "", now_ms)
+        elif run.state is RunState.STOPPING and run.stop_known_ms:
+            self._finish(run, EndCause.STOPPED, "", now_ms)
+
+    def _end_traces(self, now_ms: float) -> None:
+        traced = [run for run in self._runs.values() if run.state is RunState.TRACED]
+        for run in traced:
+            if now_ms >= run.traced_until.lost_at_ms or self._is_found_nowhere(run):
+                self._finish(run, EndCause.LOST, "", now_ms)
+
+    def _is_found_nowhere(self, run: Run) -> bool:
+        """Return whether every worker of the service was looked at since it could have started."""
+        if not self._knows_all_workers:
+            return False
+        after = run.traced_until.reports_after_ms
+        return all(
+            self._looked_ms.get(worker, 0.0) > after
+            for worker, candidate in self._candidates.items()
+            if candidate.record.service == run.spec.service
+        )
+
+    def _stop_foreign(self, now_ms: float) -> None:
+        """Stop what nobody claims: the node that wanted it is gone."""
+        for worker, candidate in self._candidates.items():
+            for task, known in candidate.foreign.items():
+                if now_ms - known.noted_ms > _FOREIGN_GRACE_MS:
+                    candidate.foreign[task] = known._replace(noted_ms=now_ms)
+                    self._stops.append(StopAction(RunId(task, known.number), worker))
+
+    def _finish(self, run: Run, cause: EndCause, checkpoint: str, now_ms: float) -> None:
+        """Tell the holders of a run's end, or start it anew if the stop was not theirs."""
+        worker = run.worker
+        ran_ms = int(now_ms - run.began_ms) if run.began_ms else 0
+        was_stopping = run.state is RunState.STOPPING
+        if cause is EndCause.DONE and not was_stopping:
+            self._speeds.note(worker, ran_ms, run.spec.estimate_ms)
+        self._release(run)
+        if was_stopping and run.holders and cause is not EndCause.DONE:
+            run.number += 1
+            run.enter(RunState.QUEUED, now_ms)
+            self._waiting.add(run)
+            return
+        end = RunEnd(run.run_id, cause, worker, ran_ms, checkpoint)
+        for holder in run.holders:
+            self._ends.append(EndAction(holder, end))
+        self._forget(run)
+        self._past.pop(run.task, None)
+        self._past[run.task] = _Past(run.number, now_ms, None)
+
+    def _release(self, run: Run) -> None:
+        candidate = self._candidates.get(run.worker)
+        if candidate is not None:
+            candidate.room.release(run.task)
+
+    def _forget(self, run: Run) -> None:
+        self._waiting.remove(run.task)
+        self._runs.pop(run.task, None)
+        tasks = self._tasks_of_job.get(run.task.job_id)
+        if tasks is None:
+            return
+        tasks.discard(run.task)
+        if not tasks:
+            del self._tasks_of_job[run.task.job_id]
+            self._waiting.forget_job(run.task.job_id)
--- /dev/null
+++ b/src/foldloom/owners/zone_owner.py
@@ -0,0 +1,317 @@
+# SPDX-License-Identifier: MIT
+"""The owner of a zone's workers while this node holds the token: it alone calls them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from foldloom.fleet.messages import Echo, OwnerBeat, OwnerRecord, ZoneLoad
+from foldloom.fleet.view import FleetView
+from foldloom.logs import PLACE_LOG, WORKER_LOG
+from foldloom.metrics import Metrics
+from foldloom.owners.lease import STOP_OVERDUE_MS, gone_after_ms, longest_real_ms
+from foldloom.owners.messages import (
+    CancelJob,
+    SubmitReply,
+    SubmitRuns,
+    SubmitStatus,
+)
+from foldloom.owners.sessions import Sessions
+from foldloom.owners.state import OwnerState, StartAction, StopAction
+from foldloom.owners.worker_link import WorkerLink
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.scheduling.runs import HolderId
+from foldloom.settings import TimingSettings
+from foldloom.workers.calls import (
+    ActiveRun,
+    CallOutcome,
+    EndedRun,
+    StartOrder,
+    WorkerCalls,
+)
+from foldloom.workers.catalog import WorkerCatalog
+from foldloom.workers.records import WorkerRecord
+
+_TICK_S = 0.02
+_STOP_REPEAT_MS = 100.0
+_FORGET_SILENT_MS = 15_000.0
+_CATALOG_TRUSTED_MS = 3_000.0
+
+
+class ZoneOwner:
+    """One term of owning a zone's workers.
+
+    Args:
+        record: This owner: zone, token, node.
+        view: The other nodes.
+        network: The peers.
+        calls: How workers are called.
+        catalog: The workers.
+        timings: Intervals and bounds.
+        metrics: Counters.
+        published_version: Returns the published version in force here.
+        on_fenced: Called when a worker has seen a higher token.
+        catalog_age_ms: Returns for how long the catalog has been kept up.
+    """
+
+    def __init__(
+        self,
+        record: OwnerRecord,
+        view: FleetView,
+        network: PeerNetwork,
+        calls: WorkerCalls,
+        catalog: WorkerCatalog,
+        timings: TimingSettings,
+        metrics: Metrics,
+        published_version: Callable[[], int],
+        on_fenced: Callable[[str], None],
+        catalog_age_ms: Callable[[], float],
+    ) -> None:
+        self.calls = calls
+        self.lease_ms = float(timings.worker_lease_ms)
+        self.lease_real_ms = longest_real_ms(timings.worker_lease_ms)
+        self._record = record
+        self._view = view
+        self._network = network
+        self._catalog = catalog
+        self._timings = timings
+        self._metrics = metrics
+        self._published_version = published_version
+        self._on_fenced = on_fenced
+        self._catalog_age_ms = catalog_age_ms
+        self._state = OwnerState(gone_after_ms(timings.worker_lease_ms))
+        self._sessions = Sessions(record.token, network, timings.session_ms)
+        self._links: dict[str, WorkerLink] = {}
+        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_closed = False
+
+    @property
+    def token(self) -> int:
+        """The fencing token."""
+        return self._record.token
+
+    @property
+    def record(self) -> OwnerRecord:
+        """This owner: zone, token, node."""
+        return self._record
+
+    @property
+    def state(self) -> OwnerState:
+        """The runs and workers."""
+        return self._state
+
+    @property
+    def load(self) -> ZoneLoad:
+        """How loaded the workers in use are."""
+        now_ms = monotonic_ms()
+        in_use = [one for one in self._state.candidates.values() if one.is_open(now_ms)]
+        return ZoneLoad(
+            free_milli=sum(max(0, one.room.free.cpu_milli) for one in in_use),
+            total_milli=sum(one.room.capacity.cpu_milli for one in in_use),
+            queued_milli=self._state.waiting.cpu_milli,
+        )
+
+    def start(self) -> None:
+        """Look at every worker and begin to beat."""
+        self._spawn(self._beat())
+        self._spawn(self._tick())
+
+    def close(self) -> None:
+        """End all tasks; whoever owns the zone next adopts what runs."""
+        self._is_closed = True
+        self._sessions.close()
+        for task in [*self._tasks, *self._link_tasks.values()]:
+            task.cancel()
+
+    def submit(self, sender: str, message: SubmitRuns) -> SubmitReply:
+        """Take runs that *sender* hands in."""
+        holder = HolderId(sender, self._network.known_incarnation(sender))
+        now_ms = monotonic_ms()
+        if message.token != self.token or self._is_closed:
+            return SubmitReply(SubmitStatus.NOT_OWNER, "another token")
+        if not self._sessions.has_right(holder, now_ms):
+            return SubmitReply(SubmitStatus.NOT_OWNER, "no session")
+        reply = self._state.submit(holder, message, now_ms)
+        self._act()
+        return reply
+
+    def cancel(self, sender: str, message: CancelJob) -> None:
+        """Drop what *sender* wants of a job."""
+        holder = HolderId(sender, self._network.known_incarnation(sender))
+        self._state.cancel(holder, message.job_id, monotonic_ms())
+        self._act()
+
+    def hear_echo(self, sender: str, echo: Echo) -> None:
+        """Take a node's grant."""
+        if echo.token != self.token or self._is_closed:
+            return
+        holder = HolderId(sender, self._network.known_incarnation(sender))
+        now_ms = monotonic_ms()
+        for earlier in self._sessions.end_other_lives(holder):
+            self._state.end_session(earlier, now_ms)
+        self._sessions.grant(holder, echo.beat_ms)
+
+    def may_renew(self, worker: str, now_ms: float) -> bool:
+        """Return whether the lease of *worker* may be renewed.
+
+        A run that should have stopped long ago and is still listed must not live on by it.
+        """
+        return not self._state.has_overdue_stop(worker, now_ms - STOP_OVERDUE_MS)
+
+    def take_report(
+        self,
+        worker: str,
+        active: tuple[ActiveRun, ...],
+        ended: tuple[EndedRun, ...],
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take a worker's lists."""
+        if self._is_closed:
+            return
+        self._state.report(worker, active, ended, sent_ms, now_ms)
+        self._act()
+
+    def note_silent(self, worker: str) -> None:
+        """Note that *worker* does not answer."""
+        self._state.distrust(worker)
+
+    def note_life_over(self, worker: str) -> None:
+        """Note that *worker*'s life is over for certain."""
+        WORKER_LOG.info("Worker {} is another life now.", worker)
+        self._catalog.remove(worker, monotonic_ms())
+
+    async def note_fenced(self, worker: str) -> None:
+        """Note that *worker* has seen a higher token."""
+        self._on_fenced(worker)
+
+    async def _beat(self) -> None:
+        while True:
+            beat = OwnerBeat(
+                self._record,
+                self._view.own,
+                int(monotonic_ms()),
+                self._published_version(),
+                self.load,
+            )
+            for node in self._audience():
+                self._network.tell(node, beat, self._timings.owner_silent_ms)
+            await asyncio.sleep(self._timings.owner_beat_ms / 1_000)
+
+    def _audience(self) -> list[str]:
+        nodes = dict.fromkeys([*self._view.entries_of(self._record.zone), *self._view.controllers])
+        return list(nodes)
+
+    async def _tick(self) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            if self._catalog_age_ms() > _CATALOG_TRUSTED_MS:
+                self._state.trust_catalog()
+            self._follow_catalog(now_ms)
+            for holder in self._sessions.end_lapsed(now_ms):
+                WORKER_LOG.info("The session of {} has ended.", holder.node)
+                self._state.end_session(holder, now_ms)
+            self._judge_silent(now_ms)
+            self._state.tick(now_ms)
+            for stop in self._state.stops_to_repeat(now_ms - _STOP_REPEAT_MS, now_ms):
+                self._spawn(self._stop(stop))
+            self._act()
+            await asyncio.sleep(_TICK_S)
+
+    def _follow_catalog(self, now_ms: float) -> None:
+        records = {
+            record.worker: record
+            for record in self._catalog.records
+            if record.zone == self._record.zone
+        }
+        for worker, record in records.items():
+            self._state.follow_worker(record)
+            link = self._links.get(worker)
+            if link is None:
+                self._open_link(record)
+            else:
+                link.record = record
+        for worker in set(self._links) - set(records):
+            self._close_link(worker, now_ms)
+
+    def _open_link(self, record: WorkerRecord) -> None:
+        link = WorkerLink(self, record)
+        self._links[record.worker] = link
+        self._link_tasks[record.worker] = asyncio.create_task(link.run())
+
+    def _close_link(self, worker: str, now_ms: float) -> None:
+        """Let go of a worker that is gone; what it ran ends with it."""
+        del self._links[worker]
+        self._link_tasks.pop(worker).cancel()
+        self._state.drop_worker(worker, now_ms)
+
+    def _judge_silent(self, now_ms: float) -> None:
+        for worker, link in self._links.items():
+            if link.has_lapsed(now_ms):
+                WORKER_LOG.warning("The lease of {} has lapsed.", worker)
+                self._state.note_lapsed(worker, now_ms)
+            if link.is_silent and now_ms - link.heard_ms > _FORGET_SILENT_MS:
+                self._catalog.forget(worker)
+
+    def _act(self) -> None:
+        """Carry out what the state has decided."""
+        if self._is_closed:
+            return
+        self._state.place(monotonic_ms())
+        for stop in self._state.take_stops():
+            self._spawn(self._stop(stop))
+        for start in self._state.take_starts():
+            self._spawn(self._start(start))
+        for action in self._state.take_ends():
+            self._sessions.tell(action.holder, action.end)
+
+    async def _start(self, action: StartAction) -> None:
+        link = self._links.get(action.worker)
+        now_ms = monotonic_ms()
+        run = self._state.run_of(action.run_id.task)
+        # Looked at right before the call: after a freeze nobody may want this run any more.
+        is_wanted = run is not None and any(
+            self._sessions.has_right(holder, now_ms) for holder in run.holders
+        )
+        until_ms = 0 if link is None or not is_wanted else link.order_until(now_ms)
+        if link is None or until_ms == 0 or self._is_closed:
+            self._state.note_start(action.run_id, action.worker, CallOutcome.LATE, now_ms)
+            return
+        PLACE_LOG.info("Run {} goes to {}.", action.run_id, action.worker)
+        self._metrics.count("runs.started")
+        order = StartOrder(action.run_id, action.text, self.token, until_ms)
+        reply = await self.calls.start_run(link.record, order)
+        now_ms = monotonic_ms()
+        if reply.clock_ms:
+            link.clock.note(reply.clock_ms, now_ms)
+        if reply.outcome is not CallOutcome.DONE:
+            PLACE_LOG.info(
+                "Run {} on {}: {} {}.",
+                action.run_id,
+                action.worker,
+                reply.outcome.value,
+                reply.detail,
+            )
+            self._metrics.count(f"starts.{reply.outcome.value}")
+        if reply.outcome is CallOutcome.FENCED:
+            self._on_fenced(action.worker)
+        self._state.note_start(action.run_id, action.worker, reply.outcome, now_ms)
+        self._act()
+
+    async def _stop(self, action: StopAction) -> None:
+        link = self._links.get(action.worker)
+        if link is None or self._is_closed:
+            return
+        self._metrics.count("runs.stopped")
+        reply = await self.calls.stop_run(link.record, action.run_id, self.token)
+        if reply.outcome is CallOutcome.FENCED:
+            self._on_fenced(action.worker)
+        self._state.note_stop(action.run_id, action.worker, reply.outcome, monotonic_ms())
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
 import zmq
@@ -24,6 +24,7 @@
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.logs import PEER_LOG
 from foldloom.metrics import Metrics
+from foldloom.peers.lives import FreshLives, Lives, OrderedLives
 from foldloom.peers.messages import (
     Envelope,
     Frame,
@@ -33,7 +34,7 @@
     encode_envelope,
     kind_of,
 )
-from foldloom.settings import PeerSettings, Settings
+from foldloom.settings import PeerSettings, Settings, is_address
 
 _HIGH_WATER_MARK = 1_000
 _OUTBOX_MAX = 20_000
@@ -42,6 +43,9 @@
 _ENVELOPE_MAX_BYTES = 64 * 1024 * 1024
 _HEARTBEAT_IVL_MS = 500
 _HEARTBEAT_TIMEOUT_MS = 1_500
+_OPEN_HEARTBEAT_IVL_MS = 250
+_OPEN_HEARTBEAT_TIMEOUT_MS = 750
+_CONNECT_TIMEOUT_MS = 400
 _RECONNECT_MS = 50
 _RECONNECT_MAX_MS = 500
 DEFAULT_TTL_MS = 1_000
@@ -49,18 +53,6 @@
 Handler = Callable[[str, Any], Any]
 
 
-class Sender(NamedTuple):
-    """What is known of a peer's clock and life.
-
-    Args:
-        incarnation: The newest incarnation seen.
-        offset_ms: The least seen difference of own clock and the peer's sending time.
-    """
-
-    incarnation: int
-    offset_ms: float
-
-
 def monotonic_ms() -> float:
     """Return the monotonic clock in milliseconds."""
     return time.monotonic() * 1_000
@@ -81,13 +73,16 @@
         self._incarnation = incarnation
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._peers = {peer.box: peer for peer in settings.peers if peer.box != settings.box}
+        self._is_open = bool(settings.seeds)
+        self._is_started = False
         self._zone_by_box = {peer.box: peer.zone for peer in settings.peers}
         self._key_owner = {peer.public_key: peer.box for peer in settings.peers if peer.public_key}
         self._outboxes: dict[str, list[Frame]] = {name: [] for name in self._peers}
         self._wakeups = {name: asyncio.Event() for name in self._peers}
         self._handlers: dict[type, Handler] = {}
         self._waiting: dict[int, asyncio.Future[Any]] = {}
-        self._senders: dict[str, Sender] = {}
+        self._lives: Lives = FreshLives() if self._is_open else OrderedLives()
+        self._senders: dict[str, asyncio.Task[None]] = {}
         self._next_id = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._authenticator: AsyncioAuthenticator | None = None
@@ -98,6 +93,24 @@
         """This process's incarnation."""
         return self._incarnation
 
+    @property
+    def _silence_options(self) -> list[tuple[int, int]]:
+        """How soon a connection that fell silent is given up.
+
+        In an open network nodes come and go at any address, so a connection to one that is
+        gone, or behind a cut that has healed, must be made anew soon.
+        """
+        if not self._is_open:
+            return [
+                (zmq.HEARTBEAT_IVL, _HEARTBEAT_IVL_MS),
+                (zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS),
+            ]
+        return [
+            (zmq.HEARTBEAT_IVL, _OPEN_HEARTBEAT_IVL_MS),
+            (zmq.HEARTBEAT_TIMEOUT, _OPEN_HEARTBEAT_TIMEOUT_MS),
+            (zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS),
+        ]
+
     @property
     def peer_names(self) -> list[str]:
         """All other boxes of the settings."""
@@ -107,8 +120,7 @@
         """Return the newest incarnation seen of *box*, or 0."""
         if box == self._settings.box:
             return self._incarnation
-        sender = self._senders.get(box)
-        return 0 if sender is None else sender.incarnation
+        return self._lives.current(box)
 
     def zone_of(self, box: str) -> str:
         """Return the availability zone of *box*, or an empty string."""
@@ -133,8 +145,29 @@
         self._secure_server(router)
         router.bind(f"tcp://{self._settings.listen}")
         self._spawn(self._receive(router))
+        self._is_started = True
         for peer in self._peers.values():
-            self._spawn(self._send_to(peer))
+            self._senders[peer.box] = self._spawn(self._send_to(peer))
+
+    def add_peer(self, box: str) -> None:
+        """Connect to a node of an open network, whose name is its address (``IP:port``)."""
+        if box in self._peers or box == self._settings.box:
+            return
+        peer = PeerSettings(box=box, zone="", roles=[], address=box)
+        self._peers[box] = peer
+        self._outboxes[box] = []
+        self._wakeups[box] = asyncio.Event()
+        if self._is_started:
+            self._senders[box] = self._spawn(self._send_to(peer))
+
+    def drop_peer(self, box: str) -> None:
+        """Close the connection to a node of an open network that is gone."""
+        if not self._is_open or box not in self._peers:
+            return
+        del self._peers[box], self._outboxes[box], self._wakeups[box]
+        task = self._senders.pop(box, None)
+        if task is not None:
+            task.cancel()
 
     async def stop(self) -> None:
         """End the tasks and close the sockets."""
@@ -184,6 +217,8 @@
     def _enqueue(
         self, box: str, message: object, request_id: int, reply_to: int, ttl_ms: int
     ) -> None:
+        if box not in self._outboxes and self._is_open and is_address(box):
+            self.add_peer(box)
         outbox = self._outboxes.get(box)
         if outbox is None:
             return
@@ -204,20 +239,20 @@
             (zmq.IMMEDIATE, 1),
             (zmq.RECONNECT_IVL, _RECONNECT_MS),
             (zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS),
-            (zmq.HEARTBEAT_IVL, _HEARTBEAT_IVL_MS),
-            (zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS),
+            *self._silence_options,
         ):
             dealer.setsockopt(option, value)
         dealer.setsockopt(zmq.IDENTITY, f"{self._settings.box}/{self._incarnation}".encode())
         self._secure_client(dealer, peer)
         dealer.connect(f"tcp://{peer.address}")
         wakeup = self._wakeups[peer.box]
+        outbox = self._outboxes[peer.box]
         try:
             while True:
                 await wakeup.wait()
                 wakeup.clear()
-                while frames := self._outboxes[peer.box][:_FRAMES_PER_ENVELOPE_MAX]:
-                    del self._outboxes[peer.box][: len(frames)]
+                while frames := outbox[:_FRAMES_PER_ENVELOPE_MAX]:
+                    del outbox[: len(frames)]
                     self._send(dealer, frames)
         finally:
             dealer.close()
@@ -279,7 +314,9 @@
             self._metrics.count("messages.dropped.stranger")
             PEER_LOG.warning("Dropped a message that claims to be from {}.", envelope.sender)
             return
-        age_ms = self._note_sender(envelope)
+        age_ms = self._lives.note(
+            envelope.sender, envelope.incarnation, envelope.sent_ms, monotonic_ms()
+        )
         if age_ms is None:
             self._metrics.count("messages.dropped.old-incarnation", len(envelope.frames))
             return
@@ -291,25 +328,13 @@
 
     def _is_genuine(self, sender: str, part: zmq.Frame) -> bool:
         if sender not in self._peers:
-            return False
+            if not self._is_open or not is_address(sender):
+                return False
+            self.add_peer(sender)
         if not self._settings.secret_key_file:
             return True
         return self._key_owner.get(str(part.get("User-Id"))) == sender
 
-    def _note_sender(self, envelope: Envelope) -> float | None:
-        """Return the envelope's age in milliseconds, or ``None`` if its sender is gone."""
-        offset = monotonic_ms() - envelope.sent_ms
-        known = self._senders.get(envelope.sender)
-        if known is not None and envelope.incarnation < known.incarnation:
-            return None
-        if known is None or envelope.incarnation > known.incarnation:
-            self._senders[envelope.sender] = Sender(envelope.incarnation, offset)
-            return 0.0
-        if offset < known.offset_ms:
-            self._senders[envelope.sender] = Sender(known.incarnation, offset)
-            return 0.0
-        return offset - known.offset_ms
-
     def _dispatch(self, sender: str, frame: Frame) -> None:
         message = decode_body(frame)
         if frame.reply_to:
@@ -340,10 +365,11 @@
             return
         self._enqueue(sender, reply, 0, frame.id, frame.ttl_ms)
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
+    def _spawn(self, coroutine: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _start_authenticator(self) -> None:
         self._secret_key = read_secret_key(self._settings.secret_key_file)
--- /dev/null
+++ b/src/foldloom/scheduling/runs.py
@@ -0,0 +1,129 @@
+# SPDX-License-Identifier: MIT
+"""What an owner knows of one task's present run."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from foldloom.jobs.spec import Demand, Placement, RunId, TaskId
+
+
+class HolderId(NamedTuple):
+    """A node's life that was granted a session: it is told how its runs end."""
+
+    node: str
+    life: int
+
+
+class RunState(Enum):
+    """Where a run is."""
+
+    TRACED = "traced"
+    QUEUED = "queued"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+OCCUPYING = frozenset((RunState.STARTING, RunState.RUNNING, RunState.STOPPING))
+
+
+class RunSpec(NamedTuple):
+    """What is the same for all runs of one step of a job.
+
+    Args:
+        job_id: The job.
+        service: Whose workers run it.
+        text: What its tasks are told.
+        demand: What each takes.
+        placement: Where they may run.
+        priority: 0 comes first.
+        estimate_ms: How long one is expected to take.
+        aim_ms: When the job should end; the owner's own clock.
+        late_ms: When it earns nothing more.
+        deadline_ms: When it is given up.
+    """
+
+    job_id: str
+    service: str
+    text: str
+    demand: Demand
+    placement: Placement
+    priority: int
+    estimate_ms: int
+    aim_ms: float
+    late_ms: float
+    deadline_ms: float
+
+
+class Run:
+    """The present run of one task; at most one of a task is known to an owner.
+
+    ``began_ms`` is when this owner ordered the start (0: an earlier owner did);
+    ``stop_known_ms`` when the worker confirmed an order to stop (0: not yet).
+
+    Args:
+        task: The task.
+        number: Counts the task's starts.
+        spec: What it shares with the other tasks of its step.
+        state: Where it is.
+        since_ms: Since when it is in that state.
+    """
+
+    __slots__ = (
+        "began_ms",
+        "holders",
+        "number",
+        "since_ms",
+        "spec",
+        "state",
+        "stop_known_ms",
+        "stop_sent_ms",
+        "task",
+        "traced_until",
+        "worker",
+    )
+
+    def __init__(
+        self, task: TaskId, number: int, spec: RunSpec, state: RunState, since_ms: float
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.spec = spec
+        self.state = state
+        self.since_ms = since_ms
+        self.worker = ""
+        self.began_ms = 0.0
+        self.stop_known_ms = 0.0
+        self.stop_sent_ms = 0.0
+        self.holders: set[HolderId] = set()
+        self.traced_until = TraceBound(0.0, 0.0)
+
+    @property
+    def run_id(self) -> RunId:
+        """The run's id on workers."""
+        return RunId(self.task, self.number)
+
+    def enter(self, state: RunState, now_ms: float, worker: str = "") -> None:
+        """Go to *state*; *worker* is where it is from then on."""
+        if state is RunState.STARTING:
+            self.began_ms = now_ms
+        elif state is RunState.QUEUED:
+            self.began_ms = 0.0
+            self.stop_known_ms = 0.0
+        self.state = state
+        self.since_ms = now_ms
+        self.worker = worker
+
+
+class TraceBound(NamedTuple):
+    """Until when a run that an earlier owner may have started must be looked for.
+
+    Args:
+        reports_after_ms: A look at every worker after this time finds it, if it runs.
+        lost_at_ms: By then its lease has lapsed on any worker.
+    """
+
+    reports_after_ms: float
+    lost_at_ms: float
--- /dev/null
+++ b/src/foldloom/scheduling/workers.py
@@ -0,0 +1,58 @@
+# SPDX-License-Identifier: MIT
+"""The workers of a zone as placement sees them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from foldloom.jobs.spec import Demand, TaskId
+from foldloom.scheduling.rooms import Room, fits
+from foldloom.workers.records import WorkerRecord, WorkerState
+
+
+class ForeignRun(NamedTuple):
+    """A run that a worker lists and that nobody has claimed yet.
+
+    Args:
+        number: The run's number.
+        noted_ms: When it was first seen, or when it was last ordered to stop.
+    """
+
+    number: int
+    noted_ms: float
+
+
+class Candidate:
+    """One worker.
+
+    Args:
+        record: What it says of itself.
+    """
+
+    def __init__(self, record: WorkerRecord) -> None:
+        self.record = record
+        self.room = Room(record.capacity)
+        self.is_trusted = False
+        self.blocked_until_ms = 0.0
+        self.foreign: dict[TaskId, ForeignRun] = {}
+
+    def follow(self, record: WorkerRecord) -> None:
+        """Take a newer record of the same life."""
+        self.record = record
+        self.room.set_capacity(record.capacity)
+
+    def is_open(self, now_ms: float) -> bool:
+        """Return whether it may be given work now.
+
+        While it runs what this owner was not told of, its free room is not known.
+        """
+        return (
+            self.is_trusted
+            and self.record.state is WorkerState.READY
+            and not self.foreign
+            and now_ms >= self.blocked_until_ms
+        )
+
+    def takes(self, demand: Demand) -> bool:
+        """Return whether it has room for *demand* now."""
+        return fits(demand, self.room.free)
--- a/src/foldloom/settings.py
+++ b/src/foldloom/settings.py
@@ -19,7 +19,7 @@
 PositiveInt = Annotated[int, Meta(ge=1)]
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_.-]{1,32}$")]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_.:-]{1,32}$")]
 
 ENTRY = "entry"
 CONTROLLER = "controller"
@@ -87,6 +87,12 @@
     stop_timeout_ms: PositiveInt = 70_000
     platform_poll_ms: PositiveInt = 500
     ejection_ms: PositiveInt = 2_000
+    join_ms: PositiveInt = 250
+    owner_beat_ms: PositiveInt = 100
+    owner_silent_ms: PositiveInt = 400
+    session_ms: PositiveInt = 400
+    worker_lease_ms: PositiveInt = 600
+    drain_ms: PositiveInt = 2_500
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -108,6 +114,9 @@
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole settings file of one box.
 
+    The other boxes are either all listed in ``peers``, or found through ``seeds``: addresses
+    (``IP:port``) of some controllers. With seeds a box's name is its own address.
+
     .. versionadded:: 0.1.0
     """
 
@@ -115,8 +124,10 @@
     zone: Name
     roles: list[str]
     http: HttpSettings
-    peers: list[PeerSettings]
     listen: str
+    peers: list[PeerSettings] = []
+    seeds: list[str] = []
+    plaintext_peers: bool = False
     data_folder: str = ""
     secret_key_file: str = ""
     operator_tokens_file: str = ""
@@ -219,6 +230,10 @@
             raise SettingsError(path, "peers.roles", f"unknown role {min(unknown_roles)}")
         _check_address(peer.address, "peers.address", path)
     _check_address(settings.listen, "listen", path)
+    if settings.seeds:
+        _check_own(settings, path)
+        _check_seeds(settings, path)
+        return
     names = [peer.box for peer in settings.peers]
     if len(set(names)) != len(names):
         raise SettingsError(path, "peers", "a box is listed twice")
@@ -227,6 +242,16 @@
         raise SettingsError(path, "box", "this box is not among the peers")
     if own[0].zone != settings.zone or sorted(own[0].roles) != sorted(settings.roles):
         raise SettingsError(path, "peers", "zone or roles of this box differ from its own entry")
+    _check_own(settings, path)
+    _check_keys(settings, path)
+
+
+def _check_own(settings: Settings, path: str) -> None:
+    """Check the fields that say nothing of other boxes.
+
+    Raises:
+        SettingsError: Two fields contradict each other.
+    """
     if CONTROLLER in settings.roles and not settings.data_folder:
         raise SettingsError(path, "data_folder", "is required for a controller")
     if settings.policy not in POLICY_NAMES:
@@ -235,17 +260,41 @@
         raise SettingsError(path, "logs.format", "must be text or json")
     if bool(settings.http.tls_certificate_file) != bool(settings.http.tls_key_file):
         raise SettingsError(path, "http.tls_key_file", "certificate and key go together")
-    _check_keys(settings, path)
 
 
-def _check_address(address: str, key: str, path: str) -> None:
-    """Check that *address* is ``IP:port``."""
-    host, _, port = address.rpartition(":")
+def _check_seeds(settings: Settings, path: str) -> None:
+    """Check a box that finds the others through seeds.
+
+    Raises:
+        SettingsError: Two fields contradict each other.
+    """
+    if settings.peers:
+        raise SettingsError(path, "peers", "peers and seeds exclude each other")
+    for seed in settings.seeds:
+        _check_address(seed, "seeds", path)
+    if settings.box != settings.listen:
+        raise SettingsError(path, "box", "with seeds a box is named by its listen address")
+    if settings.secret_key_file:
+        raise SettingsError(path, "secret_key_file", "keys need every peer in the settings")
+    is_loopback = ipaddress.ip_address(settings.listen.rpartition(":")[0]).is_loopback
+    if not is_loopback and not settings.plaintext_peers:
+        reason = "must be true to run without keys off the loopback address"
+        raise SettingsError(path, "plaintext_peers", reason)
+
+
+def is_address(text: str) -> bool:
+    """Return whether *text* is ``IP:port``."""
+    host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        raise SettingsError(path, key, f"{address!r} is not IP:port") from None
-    if not port.isdigit() or not 1 <= int(port) <= 65535:
+        return False
+    return port.isdigit() and 1 <= int(port) <= 65535
+
+
+def _check_address(address: str, key: str, path: str) -> None:
+    """Check that *address* is ``IP:port``."""
+    if not is_address(address):
         raise SettingsError(path, key, f"{address!r} is not IP:port")
 
 
--- /dev/null
+++ b/src/foldloom/workers/calls.py
@@ -0,0 +1,128 @@
+# SPDX-License-Identifier: MIT
+"""How a worker is told what to run, whatever is spoken on the wire.
+
+A worker runs what it was started with under a lease that covers everything on it, measured by
+its own steady clock. It lists what runs and what has ended; ends are listed until a later call
+says that they were seen.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from foldloom.jobs.spec import RunId
+from foldloom.workers.records import WorkerRecord
+
+
+class CallOutcome(Enum):
+    """What became of a call to a worker."""
+
+    DONE = "done"
+    FENCED = "fenced"
+    OLD_RUN = "old-run"
+    LATE = "late"
+    NO_ROOM = "no-room"
+    REFUSED = "refused"
+    INVALID = "invalid"
+    OTHER_LIFE = "other-life"
+    UNKNOWN = "unknown"
+
+
+class EndKind(Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class ActiveRun(NamedTuple):
+    """A run that a worker lists as present."""
+
+    run_id: RunId
+    checkpoint: str = ""
+    percent: int = 100
+
+
+class EndedRun(NamedTuple):
+    """An end that a worker lists; ``number`` rises within one life of the worker."""
+
+    number: int
+    run_id: RunId
+    how: EndKind
+    checkpoint: str = ""
+
+
+class StartOrder(NamedTuple):
+    """What a worker is told to start.
+
+    Args:
+        run_id: The run.
+        spec: What the task is told.
+        token: The owner's fencing token.
+        until_ms: The end of the lease, by the worker's clock.
+        checkpoint: Where to go on from; empty for the beginning.
+    """
+
+    run_id: RunId
+    spec: str
+    token: int
+    until_ms: int
+    checkpoint: str = ""
+
+
+class HoldOrder(NamedTuple):
+    """A look at a worker, which may renew its lease and wait for an end.
+
+    Args:
+        token: The owner's fencing token.
+        seen: The number up to which ends were taken note of.
+        until_ms: The new end of the lease, by the worker's clock; 0 to renew nothing.
+        wait_ms: How long the answer may wait for an end.
+    """
+
+    token: int
+    seen: int
+    until_ms: int
+    wait_ms: int
+
+
+class CallReply(NamedTuple):
+    """The answer to an order.
+
+    Args:
+        outcome: What became of it.
+        clock_ms: The worker's clock when it answered; 0 if it told none.
+        detail: For the log.
+    """
+
+    outcome: CallOutcome
+    clock_ms: int = 0
+    detail: str = ""
+
+
+class HoldReply(NamedTuple):
+    """The answer to a look; lists are only told if ``outcome`` is ``DONE``."""
+
+    outcome: CallOutcome
+    clock_ms: int = 0
+    active: tuple[ActiveRun, ...] = ()
+    ended: tuple[EndedRun, ...] = ()
+    detail: str = ""
+
+
+class WorkerCalls(Protocol):
+    """Calls to workers; none of them raises for what a worker or the network does."""
+
+    async def start_run(self, worker: WorkerRecord, order: StartOrder) -> CallReply:
+        """Start a run; the same order again changes nothing."""
+
+    async def stop_run(self, worker: WorkerRecord, run_id: RunId, token: int) -> CallReply:
+        """Stop a run; one that is not there yet will never start."""
+
+    async def hold(self, worker: WorkerRecord, order: HoldOrder) -> HoldReply:
+        """Look at what runs and what has ended, and renew the lease."""
--- /dev/null
+++ b/src/foldloom/workers/records.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: MIT
+"""What workers say of themselves in their heartbeats."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from foldloom.jobs.spec import Demand
+
+
+class WorkerState(StrEnum):
+    """Whether a worker takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class WorkerRecord(NamedTuple):
+    """One life of a worker, as its newest heartbeat describes it.
+
+    Args:
+        worker: The id of this life; another life has another one, also at the same address.
+        service: The service that it belongs to.
+        address: ``IP:port`` where it takes orders.
+        zone: Its zone.
+        capacity: All that tasks may take together.
+        labels: Its kind, its rack and the like.
+        state: Whether it takes new work.
+        sequence: Rises with each heartbeat of this life.
+        version: Of its software.
+        cold_left_ms: How much longer it is slow from its start.
+        remaining_ms: While it drains, the least time that it stays.
+    """
+
+    worker: str
+    service: str
+    address: str
+    zone: str
+    capacity: Demand
+    labels: tuple[str, ...] = ()
+    state: WorkerState = WorkerState.READY
+    sequence: int = 0
+    version: str = ""
+    cold_left_ms: int = 0
+    remaining_ms: int = 0
+
+    def says_the_same(self, other: WorkerRecord) -> bool:
+        """Return whether *other* differs in nothing that decisions look at."""
+        return self._replace(sequence=0, cold_left_ms=0, remaining_ms=0) == other._replace(
+            sequence=0, cold_left_ms=0, remaining_ms=0
+        )
