A stopped entry node keeps no connection open and answers all it has read

Its clients used connections that were open before; jobs kept coming on them, so it never was idle.

Ruled out: the balancer. readyz said 503 from the SIGTERM on.

Change: from SIGTERM on each answer closes its connection; after the drain time no connection is taken, idle ones are closed, and what is still in flight at the bound is answered as given up rather than cut.

--- a/src/foldloom/entry/job_runner.py
+++ b/src/foldloom/entry/job_runner.py
@@ -82,6 +82,8 @@
             if self._has_run:
                 return JobResult(JobOutcome.EXPIRED, "deadline")
             return JobResult(JobOutcome.EXPIRED, "no owner")
+        except asyncio.CancelledError:
+            return JobResult(JobOutcome.EXPIRED, "given up")
         finally:
             self._client.forget(self._job.job_id)
 
@@ -209,6 +211,11 @@
         self._metrics.count(f"jobs.{result.outcome.value}")
         return result
 
+    def give_up_all(self) -> None:
+        """End every job now; who waits for one is told so."""
+        for task in self._running.values():
+            task.cancel()
+
     def _leave(self, job_id: str, task: asyncio.Task[JobResult]) -> None:
         if self._running.get(job_id) is not task:
             return
--- a/src/foldloom/nodes/entry.py
+++ b/src/foldloom/nodes/entry.py
@@ -27,7 +27,6 @@
 from foldloom.workers.catalog import WorkerCatalog
 
 _OWNER_LOST_MS = 1_500.0
-_IDLE_CHECK_S = 0.05
 
 ReadQueues = Callable[[Publication], QueueTable]
 
@@ -101,19 +100,25 @@
         self._view.set_seeds(seeds)
         CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
 
-    async def drain(self) -> None:
-        """Begin a planned stop: hand ownership over, then end what is in flight."""
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop began: connections should not be kept open."""
+        return self._view.own.is_leaving
+
+    async def begin_stop(self) -> None:
+        """Begin a planned stop: hand ownership over, return when no caller comes any more."""
         self._view.set_leaving()
         heir = self._elector.hand_over()
         ENTRY_LOG.info("A planned stop begins; zone handed to {}.", heir or "nobody")
         await self._joiner.tell_all()
-        try:
-            async with asyncio.timeout(self._settings.timings.stop_timeout_ms / 1_000):
-                await asyncio.sleep(self._settings.timings.drain_ms / 1_000)
-                while self._desk.running_count:
-                    await asyncio.sleep(_IDLE_CHECK_S)
-        except TimeoutError:
-            ENTRY_LOG.warning("The planned stop cuts {} jobs.", self._desk.running_count)
+        await asyncio.sleep(self._settings.timings.drain_ms / 1_000)
+
+    async def give_up_jobs(self) -> None:
+        """Answer what is still in flight when the bound of a planned stop is reached."""
+        timings = self._settings.timings
+        await asyncio.sleep((timings.stop_timeout_ms - timings.drain_ms) / 1_000)
+        ENTRY_LOG.warning("The planned stop gives {} jobs up.", self._desk.running_count)
+        self._desk.give_up_all()
 
     async def stop(self) -> None:
         """End every part."""
