Owners of workers under test: two faults found by long walks, mended

Cause: a walk over owners that come and go, cut workers and late orders (tests/test_owners_machine) found two ways to two runs of one task. Reading on found a third: after a freeze a lease could be renewed before the owner had looked at whose right was over.

Ruled out: the model.

Change: a run that a worker lists is adopted whoever asks for the task; only an end 'done' ends a run that is being looked for; rights are looked at before each renewal and each start, and a stop counts as overdue from when the right was over.

--- a/src/foldloom/owners/sessions.py
+++ b/src/foldloom/owners/sessions.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.owners.messages import RunEnd, RunsEnded
@@ -57,6 +58,13 @@
                 self._has_untold.clear()
 
 
+class EndedRight(NamedTuple):
+    """A right that is over since ``ended_ms``, own clock."""
+
+    holder: HolderId
+    ended_ms: float
+
+
 class Sessions:
     """All sessions of one owner.
 
@@ -93,12 +101,14 @@
         if session is not None:
             session.tell(end)
 
-    def end_lapsed(self, now_ms: float) -> list[HolderId]:
-        """End the sessions whose right is over and return them."""
+    def end_lapsed(self, now_ms: float) -> list[EndedRight]:
+        """End the sessions whose right is over and return whose, and when it was over."""
         lapsed = [
-            holder for holder, session in self._sessions.items() if now_ms >= session.right_until_ms
+            EndedRight(holder, session.right_until_ms)
+            for holder, session in self._sessions.items()
+            if now_ms >= session.right_until_ms
         ]
-        self._end(lapsed)
+        self._end(right.holder for right in lapsed)
         return lapsed
 
     def end_other_lives(self, holder: HolderId) -> list[HolderId]:
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -157,11 +157,11 @@
         for task in list(self._tasks_of_job.get(job_id, ())):
             self._let_go(holder, task, now_ms)
 
-    def end_session(self, holder: HolderId, now_ms: float) -> None:
-        """Drop everything that *holder* wants: it has no right to run any more."""
+    def end_session(self, holder: HolderId, ended_ms: float) -> None:
+        """Drop everything that *holder* wants: since *ended_ms* it has no right to run."""
         for task, run in list(self._runs.items()):
             if holder in run.holders:
-                self._let_go(holder, task, now_ms)
+                self._let_go(holder, task, ended_ms)
 
     # Workers.
 
@@ -308,8 +308,10 @@
             return
         past = self._past.get(task)
         if past is not None and past.end is not None and order.is_resumed:
-            self._ends.append(EndAction(holder, past.end))
-            return
+            # An earlier run's end says nothing of a later one, unless the task is done.
+            if past.end.cause is EndCause.DONE:
+                self._ends.append(EndAction(holder, past.end))
+                return
         number = order.run
         if past is not None:
             number = max(number, past.number + 1)
@@ -319,13 +321,12 @@
         run.traced_until = bound
         self._runs[task] = run
         self._tasks_of_job.setdefault(task.job_id, set()).add(task)
-        if state is RunState.QUEUED:
+        # Also a run that no earlier owner is said to know may be there: its node has died.
+        if not self._adopt_foreign(run, now_ms) and state is RunState.QUEUED:
             self._waiting.add(run)
-        else:
-            self._adopt_foreign(run, now_ms)
 
-    def _adopt_foreign(self, run: Run, now_ms: float) -> None:
-        """Take over a run that a worker lists already, if one does."""
+    def _adopt_foreign(self, run: Run, now_ms: float) -> bool:
+        """Take over a run that a worker lists already; return whether one does."""
         for worker, candidate in self._candidates.items():
             foreign = candidate.foreign.get(run.task)
             if foreign is None:
@@ -335,7 +336,8 @@
             candidate.room.release(run.task)
             candidate.room.charge(run.task, run.spec.demand)
             run.enter(RunState.RUNNING, now_ms, worker)
-            return
+            return True
+        return False
 
     def _let_go(self, holder: HolderId, task: TaskId, now_ms: float) -> None:
         run = self._runs[task]
@@ -380,7 +382,10 @@
             return
         if run.number > end.run_id.run:
             return
-        if run.state is RunState.TRACED or run.worker == worker:
+        if run.state is RunState.TRACED and end.how is not EndKind.DONE:
+            # Its node may not know of a later run that an earlier owner started elsewhere.
+            run.number = end.run_id.run
+        elif run.state is RunState.TRACED or run.worker == worker:
             run.number = end.run_id.run
             run.worker = worker
             self._finish(run, _CAUSES[end.how], end.checkpoint, now_ms)
@@ -401,7 +406,8 @@
         worker = candidate.record.worker
         for run_id in present:
             run = self._runs.get(run_id.task)
-            if run is not None and run.state is RunState.TRACED:
+            if run is not None and run.state in (RunState.TRACED, RunState.QUEUED):
+                self._waiting.remove(run.task)
                 run.number = run_id.run
                 candidate.room.charge(run.task, run.spec.demand)
                 run.enter(RunState.RUNNING, now_ms, worker)
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -158,7 +158,9 @@
         """Return whether the lease of *worker* may be renewed.
 
         A run that should have stopped long ago and is still listed must not live on by it.
+        Rights are looked at here too: after a freeze this may come before any tick.
         """
+        self._end_lapsed_sessions(now_ms)
         return not self._state.has_overdue_stop(worker, now_ms - STOP_OVERDUE_MS)
 
     def take_report(
@@ -211,9 +213,7 @@
             if self._catalog_age_ms() > _CATALOG_TRUSTED_MS:
                 self._state.trust_catalog()
             self._follow_catalog(now_ms)
-            for holder in self._sessions.end_lapsed(now_ms):
-                WORKER_LOG.info("The session of {} has ended.", holder.node)
-                self._state.end_session(holder, now_ms)
+            self._end_lapsed_sessions(now_ms)
             self._judge_silent(now_ms)
             self._state.tick(now_ms)
             for stop in self._state.stops_to_repeat(now_ms - _STOP_REPEAT_MS, now_ms):
@@ -221,6 +221,12 @@
             self._act()
             await asyncio.sleep(_TICK_S)
 
+    def _end_lapsed_sessions(self, now_ms: float) -> None:
+        """Stop the runs of nodes whose right is over, counted from when it was over."""
+        for right in self._sessions.end_lapsed(now_ms):
+            WORKER_LOG.info("The session of {} has ended.", right.holder.node)
+            self._state.end_session(right.holder, right.ended_ms)
+
     def _follow_catalog(self, now_ms: float) -> None:
         records = {
             record.worker: record
@@ -276,7 +282,9 @@
         is_wanted = run is not None and any(
             self._sessions.has_right(holder, now_ms) for holder in run.holders
         )
-        until_ms = 0 if link is None or not is_wanted else link.order_until(now_ms)
+        # A start renews the lease of everything there.
+        may_start = is_wanted and self.may_renew(action.worker, now_ms)
+        until_ms = 0 if link is None or not may_start else link.order_until(now_ms)
         if link is None or until_ms == 0 or self._is_closed:
             self._state.note_start(action.run_id, action.worker, CallOutcome.LATE, now_ms)
             return
--- /dev/null
+++ b/tests/test_owners_machine.py
@@ -0,0 +1,360 @@
+# SPDX-License-Identifier: MIT
+"""Owners come and go, workers are cut off, orders are late: no task is on two workers."""
+
+from __future__ import annotations
+
+import os
+import random
+from typing import NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.owners.lease import LAPSE_MARGIN_MS, STOP_OVERDUE_MS, WorkerClock, gone_after_ms
+from foldloom.owners.messages import EndCause, RunOrder
+from foldloom.owners.state import OwnerState, StartAction, StopAction
+from foldloom.scheduling.runs import HolderId, RunState
+from foldloom.workers.calls import CallOutcome, EndKind
+from models.worker_world import SimulatedWorker
+from test_owners_state import submission, worker
+
+_LEASE_MS = 600.0
+_SESSION_MS = 400.0
+_RESEND_MS = 1_300.0
+_ANSWER_MS = 250.0
+_JOBS = ["0" * 16, "1" * 16]
+_WORKERS = ["w1", "w2"]
+_workers = st.sampled_from(_WORKERS)
+_jobs = st.sampled_from(_JOBS)
+
+
+class Late(NamedTuple):
+    """An order that is carried out, or an answer that is given up, at a later time."""
+
+    at_ms: float
+    kind: str
+    worker: str
+    run_id: RunId
+    token: int
+    until: float
+
+
+class Term:
+    """One owner with what it knows of the workers' clocks."""
+
+    def __init__(self, token: int, now_ms: float) -> None:
+        self.token = token
+        self.state = OwnerState(gone_after_ms(_LEASE_MS))
+        self.state.trust_catalog()
+        self.clocks = {name: WorkerClock() for name in _WORKERS}
+        self.heard_ms = dict.fromkeys(_WORKERS, now_ms)
+        self.seen = dict.fromkeys(_WORKERS, 0)
+        self.silent: set[str] = set()
+        self.lapsed: set[str] = set()
+        for name in _WORKERS:
+            self.state.follow_worker(worker(name))
+
+
+class OwnersMachine(RuleBasedStateMachine):
+    """Nodes e1 and e2 hand jobs to one owner after the other."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.workers = {name: SimulatedWorker(name, 0.98) for name in _WORKERS}
+        self.term = Term(1, 0.0)
+        self.old: Term | None = None
+        self.old_right_ms = 0.0
+        self.old_holders: set[HolderId] = set()
+        self.late: list[Late] = []
+        self.holder_of: dict[str, HolderId] = {}
+        self.open: dict[TaskId, int] = {}
+        self.free_at: dict[str, float] = {}
+        self.lives = 0
+
+    # What nodes do.
+
+    @rule(job=_jobs)
+    def submit(self, job: str) -> None:
+        """Hand a job in, at first or again after its node died."""
+        if job in self.holder_of or self.now < self.free_at.get(job, 0.0):
+            return
+        self.lives += 1
+        holder = HolderId("e", self.lives)
+        self.holder_of[job] = holder
+        self.term.state.submit(holder, submission(job_id=job), self.now)
+        self.open[TaskId(job, 0, 0, 0)] = 1
+
+    @rule(job=_jobs)
+    def node_dies(self, job: str) -> None:
+        """A node dies; its owner notes it when the session is over, its caller sends again."""
+        holder = self.holder_of.pop(job, None)
+        if holder is None:
+            return
+        self.open.pop(TaskId(job, 0, 0, 0), None)
+        self.free_at[job] = self.now + _RESEND_MS
+        self._pass(_SESSION_MS)
+        self.term.state.end_session(holder, self.now)
+        if self.old is not None:
+            self.old.state.end_session(holder, self.now)
+
+    @rule(job=_jobs)
+    def client_leaves(self, job: str) -> None:
+        """A caller leaves: its job is cancelled and may come again."""
+        holder = self.holder_of.pop(job, None)
+        if holder is not None:
+            self.open.pop(TaskId(job, 0, 0, 0), None)
+            self.free_at[job] = self.now + _RESEND_MS
+            self.term.state.cancel(holder, job, self.now)
+
+    # What the network and the workers do.
+
+    @rule(name=_workers, is_reachable=st.booleans())
+    def cut(self, name: str, is_reachable: bool) -> None:
+        """Cut a worker off or heal it; it runs on."""
+        self.workers[name].is_reachable = is_reachable
+
+    @rule(name=_workers, how=st.sampled_from([EndKind.DONE, EndKind.FAILED]))
+    def finish(self, name: str, how: EndKind) -> None:
+        """End what runs on a worker."""
+        for task in list(self.workers[name].active):
+            self.workers[name].finish(task, how, self.now)
+
+    @rule(span=st.sampled_from([5.0, 50.0, 200.0, 450.0, 700.0]))
+    def wait(self, span: float) -> None:
+        """Let time pass."""
+        self._pass(span)
+
+    # What the owner does.
+
+    @rule(name=_workers)
+    def look(self, name: str) -> None:
+        """Look at a worker and renew its lease."""
+        self._look(self.term, name)
+
+    @rule(fate=st.sampled_from(["done", "lost", "answer-lost", "late"]))
+    def act(self, fate: str) -> None:
+        """Look at all workers, place runs and send orders, which meet their fate."""
+        for name in _WORKERS:
+            self._look(self.term, name)
+        self.term.state.tick(self.now)
+        self.term.state.place(self.now)
+        for stop in self.term.state.take_stops():
+            self._order_stop(self.term, stop, fate)
+        for start in self.term.state.take_starts():
+            self._order_start(self.term, start, fate)
+        self._take_ends()
+
+    @precondition(lambda self: self.old is None)
+    @rule(right_ms=st.floats(0.0, _SESSION_MS), is_dead=st.booleans())
+    def new_owner(self, right_ms: float, is_dead: bool) -> None:
+        """Another node takes over; the one before may live on behind a cut for a while."""
+        self.old = None if is_dead else self.term
+        self.old_right_ms = self.now + right_ms
+        self.old_holders = set(self.holder_of.values())
+        self.term = Term(self.term.token + 1, self.now)
+        for job, holder in self.holder_of.items():
+            task = TaskId(job, 0, 0, 0)
+            if task not in self.open:
+                continue
+            orders = [RunOrder(0, 0, self.open[task], True)]
+            message = submission(job_id=job, old_right_ms=int(right_ms) + 1, orders=orders)
+            self.term.state.submit(holder, message, self.now)
+
+    @precondition(lambda self: self.old is not None)
+    @rule(name=_workers, hears_stops=st.booleans())
+    def old_owner_acts(self, name: str, hears_stops: bool) -> None:
+        """The owner before, which reaches all workers, goes on with what it has the right to."""
+        assert self.old is not None
+        if self.now >= self.old_right_ms:
+            for holder in self.old_holders:
+                self.old.state.end_session(holder, self.old_right_ms)
+        self._look(self.old, name)
+        self.old.state.place(self.now)
+        for start in self.old.state.take_starts():
+            if self._may_renew(self.old, start.worker):
+                self._order_start(self.old, start, "done")
+        if hears_stops:
+            for stop in self.old.state.take_stops():
+                self._order_stop(self.old, stop, "done")
+        self.old.state.take_ends()
+
+    @invariant()
+    def runs_once(self) -> None:
+        """Of one task at most one run is on any worker, and no worker is over its room."""
+        present: list[TaskId] = []
+        for one in self.workers.values():
+            one.lapse(self.now)
+            present.extend(one.active)
+        assert len(present) == len(set(present)), present
+
+    def teardown(self) -> None:
+        """Heal everything: each open run gets its end, or runs."""
+        for one in self.workers.values():
+            one.is_reachable = True
+        for _ in range(20):
+            for name in _WORKERS:
+                self._look(self.term, name)
+            self.act("done")
+            self._pass(100.0)
+        for task in self.open:
+            run = self.term.state.run_of(task)
+            assert run is not None
+            assert run.state in (RunState.RUNNING, RunState.QUEUED)
+
+    def _take_ends(self) -> None:
+        for holder, end in self.term.state.take_ends():
+            job = end.run_id.task.job_id
+            if self.holder_of.get(job) != holder or end.run_id.task not in self.open:
+                continue
+            if end.cause is EndCause.DONE:
+                del self.open[end.run_id.task]
+                del self.holder_of[job]
+                continue
+            self.open[end.run_id.task] = end.run_id.run + 1
+            again = submission(job_id=job, run=end.run_id.run + 1)
+            self.term.state.submit(holder, again, self.now)
+
+    def _look(self, term: Term, name: str) -> None:
+        simulated = self.workers[name]
+        clock = term.clocks[name]
+        may_renew = clock.is_known and self._may_renew(term, name)
+        until = clock.order_until(self.now, _LEASE_MS) if may_renew else 0
+        if not self._reaches(term, name):
+            term.silent.add(name)
+            term.state.distrust(name)
+            return
+        sent = self.now
+        answer = simulated.look(term.token, term.seen[name], until, self.now)
+        if answer.outcome is not CallOutcome.DONE:
+            return
+        self.now += 1.0
+        clock.note(answer.clock_ms, self.now)
+        term.heard_ms[name] = self.now
+        term.silent.discard(name)
+        term.lapsed.discard(name)
+        fresh = tuple(end for end in answer.ended if end.number > term.seen[name])
+        term.seen[name] = max([term.seen[name], *(end.number for end in fresh)])
+        term.state.report(name, answer.active, fresh, sent, self.now)
+
+    def _may_renew(self, term: Term, name: str) -> bool:
+        return not term.state.has_overdue_stop(name, self.now - STOP_OVERDUE_MS)
+
+    def _reaches(self, term: Term, name: str) -> bool:
+        return term is self.old or self.workers[name].is_reachable
+
+    def _order_start(self, term: Term, action: StartAction, fate: str) -> None:
+        until = term.clocks[action.worker].order_until(self.now, _LEASE_MS)
+        simulated = self.workers[action.worker]
+        if not self._reaches(term, action.worker):
+            fate = "lost"
+        if fate == "done":
+            outcome = simulated.start(action.run_id, term.token, until, self.now)
+            term.state.note_start(action.run_id, action.worker, outcome, self.now)
+            return
+        order = Late(0.0, "start", action.worker, action.run_id, term.token, until)
+        if fate == "late":
+            self.late.append(order._replace(at_ms=self.now + 2_000.0))
+        elif fate == "answer-lost":
+            simulated.start(action.run_id, term.token, until, self.now)
+        self.late.append(order._replace(at_ms=self.now + _ANSWER_MS, kind="no-answer"))
+
+    def _order_stop(self, term: Term, action: StopAction, fate: str) -> None:
+        simulated = self.workers[action.worker]
+        if not self._reaches(term, action.worker) or fate in ("lost", "late"):
+            return
+        outcome = simulated.stop(action.run_id, term.token, self.now)
+        if fate == "done":
+            term.state.note_stop(action.run_id, action.worker, outcome, self.now)
+
+    def _pass(self, span: float) -> None:
+        """Let time pass in steps, as an owner's tick does."""
+        end = self.now + span
+        while self.now < end:
+            self.now = min(end, self.now + 20.0)
+            self._carry_out_late()
+            self._tick(self.term)
+
+    def _tick(self, term: Term) -> None:
+        for name in term.silent - term.lapsed:
+            lapse_ms = max(term.clocks[name].lapses_by(), term.heard_ms[name] + _LEASE_MS / 0.98)
+            if self.now >= lapse_ms + LAPSE_MARGIN_MS:
+                term.lapsed.add(name)
+                term.state.note_lapsed(name, self.now)
+        for stop in term.state.stops_to_repeat(self.now - 100.0, self.now):
+            self._order_stop(term, stop, "done")
+        term.state.tick(self.now)
+        if term is self.term:
+            self._take_ends()
+
+    def _carry_out_late(self) -> None:
+        due = [order for order in self.late if order.at_ms <= self.now]
+        self.late = [order for order in self.late if order.at_ms > self.now]
+        for order in due:
+            if order.kind == "start":
+                simulated = self.workers[order.worker]
+                simulated.start(order.run_id, order.token, order.until, self.now)
+            elif order.token == self.term.token:
+                self.term.state.note_start(
+                    order.run_id, order.worker, CallOutcome.UNKNOWN, self.now
+                )
+
+
+OwnersMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestOwnersMachine = OwnersMachine.TestCase
+
+
+class TestWalks:
+    """Long walks with the faults weighed as they come in life."""
+
+    _WALKS = 300
+    _STEPS = 120
+
+    def _step(self, machine: OwnersMachine, rng: random.Random) -> None:
+        """Take one step."""
+        name, job = rng.choice(_WORKERS), rng.choice(_JOBS)
+        kind = rng.choices(
+            ["submit", "act", "wait", "cut", "leave", "die", "owner", "old", "finish"],
+            [5, 12, 8, 3, 1, 1, 1, 4, 1],
+        )[0]
+        match kind:
+            case "submit":
+                machine.submit(job)
+            case "act":
+                fates = ["done", "lost", "answer-lost", "late"]
+                machine.act(rng.choices(fates, [8, 1, 1, 1])[0])
+            case "wait":
+                machine.wait(rng.choice([5.0, 50.0, 200.0, 450.0, 700.0]))
+            case "cut":
+                machine.cut(name, rng.random() < 0.6)
+            case "leave":
+                machine.client_leaves(job)
+            case "die":
+                machine.node_dies(job)
+            case "owner" if machine.old is None or machine.now > machine.old_right_ms + 2_000:
+                machine.new_owner(rng.uniform(0.0, _SESSION_MS), rng.random() < 0.5)
+            case "old" if machine.old is not None:
+                machine.old_owner_acts(name, rng.random() < 0.7)
+            case "finish":
+                machine.finish(name, rng.choice([EndKind.DONE, EndKind.FAILED]))
+
+    def _walk(self, seed: int) -> None:
+        """Walk from the beginning; the rule must hold after each step."""
+        rng = random.Random(seed)
+        machine = OwnersMachine()
+        for _ in range(self._STEPS):
+            self._step(machine, rng)
+            machine.runs_once()
+        machine.teardown()
+        machine.runs_once()
+
+    def test_no_task_is_on_two_workers(self) -> None:
+        """After each step of each walk the rule holds; at the end each open run has a place."""
+        first = int(os.environ.get("FOLDLOOM_FIRST_SEED", "0"))
+        for seed in range(first, first + self._WALKS):
+            try:
+                self._walk(seed)
+            except AssertionError as error:
+                raise AssertionError(f"seed {seed}") from error
--- /dev/null
+++ b/tests/test_owners_state.py
@@ -0,0 +1,309 @@
+# SPDX-License-Identifier: MIT
+"""An owner's runs: of one task at most one is on a worker, and each gets its end."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from foldloom.jobs.spec import Demand, Placement, RunId, TaskId
+from foldloom.owners.messages import EndCause, RunEnd, RunOrder, SubmitRuns, SubmitStatus
+from foldloom.owners.state import OwnerState
+from foldloom.scheduling.runs import HolderId
+from foldloom.workers.calls import ActiveRun, CallOutcome, EndedRun, EndKind
+from foldloom.workers.records import WorkerRecord
+
+_GONE_AFTER_MS = 750.0
+_E1 = HolderId("e1", 1)
+_E2 = HolderId("e2", 1)
+_JOB = "0" * 16
+_TASK = TaskId(_JOB, 0, 0, 0)
+
+
+def worker(name: str, cpu: int = 16_000, **changes: Any) -> WorkerRecord:
+    """Return a worker of the service ``svc``."""
+    return WorkerRecord(name, "svc", f"{name}:1", "a", Demand(cpu, 32_000, 0))._replace(**changes)
+
+
+def submission(
+    tasks: int = 1, run: int = 1, is_resumed: bool = False, job_id: str = _JOB, **changes: Any
+) -> SubmitRuns:
+    """Return a message that hands in the tasks of a job."""
+    orders = [RunOrder(0, number, run, is_resumed) for number in range(tasks)]
+    message = SubmitRuns(
+        1,
+        job_id,
+        0,
+        "svc",
+        "text",
+        Demand(6_800, 64, 0),
+        Placement(),
+        0,
+        100,
+        200,
+        600,
+        2_000,
+        0,
+        orders,
+    )
+    return message._replace(**changes)
+
+
+def owner_with(*records: WorkerRecord) -> OwnerState:
+    """Return an owner that has looked at all of *records*."""
+    state = OwnerState(_GONE_AFTER_MS)
+    for record in records:
+        state.follow_worker(record)
+        state.report(record.worker, (), (), 0.0, 1.0)
+    return state
+
+
+def ends_of(state: OwnerState) -> list[tuple[HolderId, RunEnd]]:
+    """Return who was told of which end."""
+    return [(action.holder, action.end) for action in state.take_ends()]
+
+
+def start_one(state: OwnerState, now_ms: float = 10.0) -> RunId:
+    """Hand one task in and have it started; return its run."""
+    state.submit(_E1, submission(), now_ms)
+    state.place(now_ms)
+    action = state.take_starts()[0]
+    state.note_start(action.run_id, action.worker, CallOutcome.DONE, now_ms + 1)
+    return action.run_id
+
+
+class TestPlacing:
+    """Runs go where there is room."""
+
+    def test_no_worker_is_overfilled(self) -> None:
+        """Two tasks of 6.8 cores fit on 16, three on 24; the rest waits."""
+        state = owner_with(worker("w1"), worker("w2", 24_000))
+        assert state.submit(_E1, submission(7), 1.0).status is SubmitStatus.TAKEN
+        state.place(1.0)
+        placed = [action.worker for action in state.take_starts()]
+        assert sorted(placed) == ["w1", "w1", "w2", "w2", "w2"]
+        assert len(state.waiting) == 2
+
+    def test_untrusted_worker_gets_nothing(self) -> None:
+        """A worker that does not answer gets no work until it was looked at again."""
+        state = owner_with(worker("w1"))
+        state.distrust("w1")
+        state.submit(_E1, submission(), 1.0)
+        state.place(1.0)
+        assert state.take_starts() == []
+        state.report("w1", (), (), 2.0, 3.0)
+        state.place(3.0)
+        assert len(state.take_starts()) == 1
+
+    def test_label_and_bound_on_one_worker(self) -> None:
+        """A label must be there, and no more of a step than allowed sits on one worker."""
+        state = owner_with(worker("w1", labels=("x",)), worker("w2"))
+        state.submit(_E1, submission(3, placement=Placement("x", "", 1)), 1.0)
+        state.place(1.0)
+        assert [action.worker for action in state.take_starts()] == ["w1"]
+
+    def test_room_comes_back_with_the_end(self) -> None:
+        """The next run starts when the end of one is listed."""
+        state = owner_with(worker("w1", 7_000))
+        run_id = start_one(state)
+        state.submit(_E1, submission(job_id="1" * 16), 20.0)
+        state.place(20.0)
+        assert state.take_starts() == []
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 30.0, 31.0)
+        state.place(31.0)
+        assert len(state.take_starts()) == 1
+
+
+class TestEnds:
+    """Each holder hears how its run ended."""
+
+    def test_done(self) -> None:
+        """A done run is told once, with how long it ran."""
+        state = owner_with(worker("w1"))
+        run_id = start_one(state)
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 100.0, 110.0)
+        told = ends_of(state)
+        assert [(holder, end.cause) for holder, end in told] == [(_E1, EndCause.DONE)]
+        assert told[0][1].ran_ms == 100
+        assert state.run_count == 0
+
+    def test_lapsed(self) -> None:
+        """When a worker's lease has lapsed, what it ran has ended."""
+        state = owner_with(worker("w1"))
+        start_one(state)
+        state.note_lapsed("w1", 700.0)
+        assert [end.cause for _, end in ends_of(state)] == [EndCause.LAPSED]
+
+    def test_unanswered_start(self) -> None:
+        """A start without an answer is stopped; another one follows only after its end."""
+        state = owner_with(worker("w1"), worker("w2"))
+        state.submit(_E1, submission(), 1.0)
+        state.place(1.0)
+        first = state.take_starts()[0]
+        state.note_start(first.run_id, first.worker, CallOutcome.UNKNOWN, 200.0)
+        state.place(200.0)
+        assert [action.run_id for action in state.take_stops()] == [first.run_id]
+        assert state.take_starts() == []
+        state.note_stop(first.run_id, first.worker, CallOutcome.DONE, 210.0)
+        state.report(first.worker, (), (), 205.0, 212.0)
+        state.place(212.0)
+        assert state.take_starts() == []
+        state.report(first.worker, (), (), 215.0, 216.0)
+        state.place(216.0)
+        assert state.take_starts()[0].run_id == RunId(_TASK, 2)
+
+    def test_old_run_gets_a_higher_number(self) -> None:
+        """A worker that has ended this run before is given the next one."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, submission(), 1.0)
+        state.place(1.0)
+        first = state.take_starts()[0]
+        state.note_start(first.run_id, "w1", CallOutcome.OLD_RUN, 2.0)
+        state.place(50.0)
+        assert state.take_starts()[0].run_id == RunId(_TASK, 2)
+
+    def test_no_room_waits_and_keeps_its_number(self) -> None:
+        """A worker without room is left alone for a while."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, submission(), 1.0)
+        state.place(1.0)
+        first = state.take_starts()[0]
+        state.note_start(first.run_id, "w1", CallOutcome.NO_ROOM, 2.0)
+        state.place(3.0)
+        assert state.take_starts() == []
+        state.place(50.0)
+        assert state.take_starts()[0].run_id == first.run_id
+
+
+class TestHolders:
+    """Who wants a run, and what happens when nobody does."""
+
+    def test_cancel_stops(self) -> None:
+        """A cancelled job's run is stopped, and its room is kept until the end is listed."""
+        state = owner_with(worker("w1", 7_000))
+        run_id = start_one(state)
+        state.cancel(_E1, _JOB, 20.0)
+        assert [action.run_id for action in state.take_stops()] == [run_id]
+        state.submit(_E2, submission(job_id="1" * 16), 21.0)
+        state.place(21.0)
+        assert state.take_starts() == []
+
+    def test_same_job_through_another_node(self) -> None:
+        """A job that is sent again attaches to its run; it goes on while one wants it."""
+        state = owner_with(worker("w1"), worker("w2"))
+        run_id = start_one(state)
+        state.submit(_E2, submission(), 30.0)
+        state.place(30.0)
+        assert state.take_starts() == []
+        state.end_session(_E1, 40.0)
+        assert state.take_stops() == []
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 50.0, 51.0)
+        state.report("w2", (), (EndedRun(1, run_id, EndKind.DONE),), 50.0, 51.0)
+        assert [holder for holder, _ in ends_of(state)] == [_E2]
+
+    def test_sent_again_while_it_is_stopped(self) -> None:
+        """A run that is being stopped starts anew after its end, under the next number."""
+        state = owner_with(worker("w1"), worker("w2"))
+        run_id = start_one(state)
+        state.end_session(_E1, 20.0)
+        stopped = state.take_stops()[0]
+        state.submit(_E2, submission(), 25.0)
+        state.place(25.0)
+        assert state.take_starts() == []
+        ended = EndedRun(1, run_id, EndKind.STOPPED)
+        state.report(stopped.worker, (), (ended,), 26.0, 27.0)
+        state.place(27.0)
+        assert state.take_starts()[0].run_id == RunId(_TASK, 2)
+        assert ends_of(state) == []
+
+    def test_sent_again_after_the_end(self) -> None:
+        """A job that comes again after its end starts above the numbers used before."""
+        state = owner_with(worker("w1"))
+        run_id = start_one(state)
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.FAILED),), 50.0, 51.0)
+        state.submit(_E2, submission(), 60.0)
+        state.place(60.0)
+        assert state.take_starts()[0].run_id == RunId(_TASK, 2)
+
+
+class TestTakeOver:
+    """A new owner takes over what an earlier one started."""
+
+    def test_running_run_is_adopted(self) -> None:
+        """A run that a worker lists is kept, whichever comes first: the look or the node."""
+        run_id = RunId(_TASK, 3)
+        for looks_first in (True, False):
+            state = OwnerState(_GONE_AFTER_MS)
+            state.follow_worker(worker("w1"))
+            if looks_first:
+                state.report("w1", (ActiveRun(run_id),), (), 0.0, 1.0)
+            state.submit(_E1, submission(run=3, is_resumed=True), 2.0)
+            if not looks_first:
+                state.report("w1", (ActiveRun(run_id),), (), 3.0, 4.0)
+            state.tick(600.0)
+            assert state.take_stops() == []
+            state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 700.0, 701.0)
+            assert [end.cause for _, end in ends_of(state)] == [EndCause.DONE]
+
+    def test_end_of_an_earlier_run_is_not_the_end(self) -> None:
+        """An earlier run's end does not let another start while a later one may be elsewhere."""
+        state = OwnerState(_GONE_AFTER_MS)
+        state.trust_catalog()
+        state.follow_worker(worker("w1"))
+        state.follow_worker(worker("w2"))
+        state.submit(_E1, submission(is_resumed=True), 1.0)
+        state.report("w2", (), (EndedRun(4, RunId(_TASK, 2), EndKind.STOPPED),), 2.0, 3.0)
+        state.tick(4.0)
+        state.place(4.0)
+        assert ends_of(state) == []
+        assert state.take_starts() == []
+        state.report("w1", (ActiveRun(RunId(_TASK, 3)),), (), 5.0, 6.0)
+        state.report("w1", (), (EndedRun(1, RunId(_TASK, 3), EndKind.DONE),), 7.0, 8.0)
+        assert [(end.run_id.run, end.cause) for _, end in ends_of(state)] == [(3, EndCause.DONE)]
+
+    def test_end_that_came_before_the_node(self) -> None:
+        """An end that a worker still lists is told when the node asks for it."""
+        state = OwnerState(_GONE_AFTER_MS)
+        state.follow_worker(worker("w1"))
+        state.report("w1", (), (EndedRun(4, RunId(_TASK, 1), EndKind.DONE),), 0.0, 1.0)
+        state.submit(_E1, submission(is_resumed=True), 2.0)
+        assert [end.cause for _, end in ends_of(state)] == [EndCause.DONE]
+
+    def test_nowhere_found_is_lost_only_after_the_lease(self) -> None:
+        """A run that may be on a worker that nobody reaches is not given up before its lease."""
+        state = owner_with(worker("w1"))
+        state.follow_worker(worker("w2"))
+        state.submit(_E1, submission(is_resumed=True, old_right_ms=200), 1_000.0)
+        state.tick(1_900.0)
+        assert ends_of(state) == []
+        state.tick(1_951.0)
+        assert [end.cause for _, end in ends_of(state)] == [EndCause.LOST]
+
+    def test_looked_everywhere_is_lost_at_once(self) -> None:
+        """Once every worker was looked at after the earlier right, the run is nowhere."""
+        state = owner_with(worker("w1"), worker("w2"))
+        state.trust_catalog()
+        state.submit(_E1, submission(is_resumed=True, old_right_ms=100), 1_000.0)
+        state.report("w1", (), (), 1_101.0, 1_102.0)
+        state.report("w2", (), (), 1_050.0, 1_101.0)
+        state.tick(1_110.0)
+        assert ends_of(state) == []
+        state.report("w2", (), (), 1_110.0, 1_111.0)
+        state.tick(1_112.0)
+        assert [end.cause for _, end in ends_of(state)] == [EndCause.LOST]
+
+    def test_unclaimed_run_is_stopped(self) -> None:
+        """What no node claims is stopped after a while; until then its worker gets no work."""
+        state = OwnerState(_GONE_AFTER_MS)
+        state.follow_worker(worker("w1"))
+        stranger = RunId(TaskId("f" * 16, 0, 0, 0), 1)
+        state.report("w1", (ActiveRun(stranger),), (), 0.0, 1.0)
+        state.submit(_E1, submission(), 10.0)
+        state.place(10.0)
+        assert state.take_starts() == []
+        state.tick(100.0)
+        assert state.take_stops() == []
+        state.tick(400.0)
+        assert [action.run_id for action in state.take_stops()] == [stranger]
+        state.report("w1", (), (EndedRun(1, stranger, EndKind.STOPPED),), 410.0, 411.0)
+        state.place(411.0)
+        assert len(state.take_starts()) == 1
--- /dev/null
+++ b/tests/test_platform_bodies.py
@@ -0,0 +1,152 @@
+# SPDX-License-Identifier: MIT
+"""The platform's JSON: what is taken, what is refused and by which name."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from bodies import active_of, ended_of, task_of, task_text
+from documents import check_document, read_queues
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.workers.calls import EndKind
+from job_bodies import parse_job
+
+_ID = "5c0e7a21d94b36f8"
+
+
+def _job(phase: dict[str, Any] | None = None, **fields: Any) -> bytes:
+    phases = [{"count": 2, "cpu": 500, **(phase or {})}]
+    return json.dumps({"spec": "s", "phases": phases, "best_effort": True, **fields}).encode()
+
+
+class TestJob:
+    """Jobs that clients hand in."""
+
+    def test_whole(self) -> None:
+        """Every field of a step arrives."""
+        phase = {
+            "mem_mb": 3,
+            "gpu": 1,
+            "estimate_ms": 90,
+            "constraints": "a",
+            "affinity": "r1",
+            "anti_affinity": 2,
+        }
+        parsed = parse_job(_ID, _job(phase))
+        assert parsed.is_ok()
+        step = parsed.ok.steps[0]
+        assert (step.tasks, step.demand, step.estimate_ms) == (2, (500, 3, 1), 90)
+        assert step.placement == ("a", "r1", 2)
+
+    @pytest.mark.parametrize(
+        ("body", "status", "named"),
+        [
+            (b"{", 400, "truncated"),
+            (_job({"count": 0}), 400, "phases"),
+            (_job({"count": 1_000_000}), 400, "phases"),
+            (_job({"cpu": -1}), 400, "cpu"),
+            (_job({"cpu": 10**12}), 400, "cpu"),
+            (_job({"depends_on": [0]}), 400, "depends_on"),
+            (_job({"depends_on": [7]}), 400, "depends_on"),
+            (_job(spec="x" * 4_001), 400, "spec"),
+            (_job(phases=[]), 400, "phases"),
+            (_job(repeat_count=-1), 400, "repeat_count"),
+            (_job(best_effort=False), 501, "best_effort"),
+            (_job({"gang": True}), 501, "gang"),
+            (_job({"long_running": True}), 501, "long_running"),
+            (_job(repeat_count=3), 501, "repeat_count"),
+        ],
+    )
+    def test_refused_by_name(self, body: bytes, status: int, named: str) -> None:
+        """What is wrong or not carried out is refused, and the field is named."""
+        parsed = parse_job(_ID, body)
+        assert parsed.is_error()
+        assert parsed.error.status == status
+        assert named in parsed.error.detail
+
+    @pytest.mark.parametrize("job_id", ["", "5C0E7A21D94B36F8", "5c0e", _ID + "0", "../../etc"])
+    def test_bad_id(self, job_id: str) -> None:
+        """An id that is not 16 hex digits is refused."""
+        assert parse_job(job_id, _job()).is_error()
+
+
+_ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path_prefix": "/p/",
+    "service": "s",
+    "timeout_ms": 1_500,
+    "target_latency_ms": 60,
+    "priority": 2,
+    "max_attempts": 3,
+    "extension": 1.6,
+}
+_DOCUMENT = {"version": 7, "routes": [_ROUTE], "services": [{"name": "s"}]}
+
+
+def _document(**changes: Any) -> bytes:
+    return json.dumps({**_DOCUMENT, **changes}).encode()
+
+
+class TestDocument:
+    """Configurations that the operator sends."""
+
+    def test_read_back_as_sent(self) -> None:
+        """The content is kept whole, unknown fields included."""
+        body = _document(extra={"x": [1]})
+        checked = check_document(body)
+        assert checked.is_ok()
+        assert checked.ok.version == 7
+        assert json.loads(checked.ok.document) == json.loads(body)
+
+    def test_queues(self) -> None:
+        """A route becomes a queue."""
+        checked = check_document(_document())
+        assert checked.is_ok()
+        queue = read_queues(checked.ok).find("h.example", "/p/1")
+        assert queue is not None
+        assert (queue.priority, queue.attempts_max, queue.timeout_ms) == (2, 3, 1_500)
+        assert queue.objective_ms(100.0) == 220.0
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            _document()[:-3],
+            _document(version=0),
+            _document(routes=[{**_ROUTE, "service": "unknown"}]),
+            _document(routes=[{**_ROUTE, "timeout_ms": 0}]),
+            _document(routes=[_ROUTE, {**_ROUTE, "name": "r2"}]),
+            _document(routes=None),
+            b"[]",
+            b"",
+        ],
+    )
+    def test_invalid(self, body: bytes) -> None:
+        """What can't be read whole, or contradicts itself, is refused."""
+        assert check_document(body).is_error()
+
+
+class TestNames:
+    """Names of tasks and the rows of a worker's lists."""
+
+    def test_task(self) -> None:
+        """A task's name holds job, time, step and number."""
+        task = TaskId(_ID, 0, 1, 17)
+        assert task_text(task) == f"{_ID}.0.1.17"
+        assert task_of(task_text(task)) == task
+
+    def test_not_a_task(self) -> None:
+        """Another text is no task's name."""
+        with pytest.raises(ValueError, match="names no task"):
+            task_of("x.1.2")
+
+    def test_rows(self) -> None:
+        """Rows may have more fields than are known."""
+        run_id = RunId(TaskId(_ID, 0, 1, 9), 2)
+        active = active_of([[f"{_ID}.0.1.9", 2, "", 100, 12.5]])
+        assert active[0].run_id == run_id
+        ended = ended_of([[58, f"{_ID}.0.1.9", 2, "done", ""]])
+        assert (ended[0].number, ended[0].run_id, ended[0].how) == (58, run_id, EndKind.DONE)
