--- a/src/foldloom/controllers/election.py
+++ b/src/foldloom/controllers/election.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Sequence
 from typing import TYPE_CHECKING, Any
 
-from foldloom.controllers.messages import RequestVote, VoteReply
+from foldloom.controllers.messages import RequestVote, StandNow, VoteReply
 from foldloom.logs import CONTROLLER_LOG
 
 if TYPE_CHECKING:
@@ -24,26 +24,29 @@
     def __init__(self, node: ControllerNode) -> None:
         self._node = node
         node.network.on(RequestVote, self._on_request_vote)
+        node.network.on(StandNow, self._on_stand_now)
 
-    async def stand(self) -> None:
+    async def stand(self, is_handover: bool = False) -> None:
         """Ask for trial votes, then for real ones; lead if a majority gives them."""
-        if not await self._gather_votes(self._node.log.term + 1, is_trial=True):
+        if not await self._gather_votes(self._node.log.term + 1, True, is_handover):
             return
         async with self._node.turn:
-            if self._node.leader_silent_ms < self._node.election_timeout_ms:
+            is_heard = self._node.leader_silent_ms < self._node.election_timeout_ms
+            if is_heard and not is_handover:
                 return
             term = self._node.log.term + 1
             await self._node.log.save_term_vote(term, self._node.box)
         self._node.forget_leader()
         CONTROLLER_LOG.info("Stand for election in term {}.", term)
-        is_won = await self._gather_votes(term, is_trial=False)
+        is_won = await self._gather_votes(term, False, is_handover)
         # A leader of this very term may have been heard meanwhile: then this one must not lead.
         if is_won and self._node.log.term == term and not self._node.leader:
             CONTROLLER_LOG.info("Lead in term {}.", term)
             self._node.lead()
 
-    async def _gather_votes(self, term: int, is_trial: bool) -> bool:
-        request = RequestVote(term, self._node.log.last_index, self._node.log.last_term, is_trial)
+    async def _gather_votes(self, term: int, is_trial: bool, is_handover: bool) -> bool:
+        log = self._node.log
+        request = RequestVote(term, log.last_index, log.last_term, is_trial, is_handover)
         others = [box for box in self._node.controllers if box != self._node.box]
         votes = 1
         if votes >= self._node.majority:
@@ -62,6 +65,12 @@
                 votes += 1
         return votes >= self._node.majority
 
+    async def _on_stand_now(self, sender: str, message: StandNow) -> None:
+        if sender != self._node.leader or message.term != self._node.log.term:
+            return
+        if self._node.may_vote and not self._node.is_leading:
+            await self.stand(is_handover=True)
+
     async def _on_request_vote(self, sender: str, request: RequestVote) -> VoteReply | None:
         async with self._node.turn:
             if self._node.is_failed:
@@ -77,8 +86,8 @@
 
     async def _judge_vote(self, sender: str, request: RequestVote) -> bool:
         """Return whether *sender* gets the vote; a real vote is durable by then."""
-        silent_ms = self._node.leader_silent_ms
-        if self._node.is_leading or silent_ms < self._node.election_timeout_ms:
+        is_heard = self._node.leader_silent_ms < self._node.election_timeout_ms
+        if self._node.is_leading or (is_heard and not request.is_handover):
             return False
         is_recent = (request.last_term, request.last_index) >= (
             self._node.log.last_term,
--- a/src/foldloom/controllers/leadership.py
+++ b/src/foldloom/controllers/leadership.py
@@ -6,8 +6,9 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from foldloom.controllers.members import Standby, next_change
 from foldloom.controllers.messages import Append, AppendReply, InstallSnapshot
-from foldloom.controllers.state import Answer, VoterReadyCommand, encode_command
+from foldloom.controllers.state import Answer, Command, VoterReadyCommand, encode_command
 from foldloom.exceptions import NotLeaderError, PeerUnreachableError
 from foldloom.logs import CONTROLLER_LOG
 from foldloom.peers.wire import monotonic_ms
@@ -18,6 +19,8 @@
 ANY_STORAGE = "?"
 _ENTRIES_PER_APPEND = 500
 _HEARTBEATS_PER_ELECTION_TIMEOUT = 6
+_GONE_AFTER_TIMEOUTS = 2.5
+_STANDBY_KEPT_TIMEOUTS = 10
 
 
 class Follower(NamedTuple):
@@ -39,7 +42,7 @@
 
 
 class _Candidacy(NamedTuple):
-    """A controller that asks to be counted again, and since when."""
+    """A controller that asks to be counted, and when it asked."""
 
     storage_id: str
     since_ms: float
@@ -63,6 +66,8 @@
         self._dirty = asyncio.Event()
         self._heard = asyncio.Condition()
         self._candidacies: dict[str, _Candidacy] = {}
+        self._standbys: dict[str, _Candidacy] = {}
+        self._member_index = 0
         self._pinned: set[tuple[str, str]] = set()
         self._started_ms = monotonic_ms()
 
@@ -77,7 +82,7 @@
         self._tasks["flush"] = asyncio.create_task(self._flush())
         self._tasks["watch"] = asyncio.create_task(self._watch())
         self._dirty.set()
-        self.follow_config()
+        self.follow_members()
 
     def stop(self) -> None:
         """End the tasks; what was proposed and not committed stays unknown."""
@@ -89,9 +94,9 @@
                 future.exception()
         self._proposals.clear()
 
-    def follow_config(self) -> None:
-        """Replicate to each controller of the configuration, and to no other."""
-        members = set(self._node.controllers) - {self._node.box}
+    def follow_members(self) -> None:
+        """Replicate to each controller that counts and each standby, and to no other."""
+        members = {*self._node.controllers, *self._standbys} - {self._node.box}
         for box in members - set(self._followers):
             self._followers[box] = Follower(self._node.log.last_index + 1)
             self._wakeups[box] = asyncio.Event()
@@ -100,6 +105,17 @@
             self._tasks.pop(box).cancel()
             del self._followers[box], self._wakeups[box]
 
+    def heir(self) -> str:
+        """Return the controller that could lead at once, or an empty string."""
+        ready = [
+            box
+            for box in self._node.controllers
+            if self._counts(box)
+            and box != self._node.box
+            and self._followers[box].match_index >= self._node.log.last_index
+        ]
+        return max(ready, key=lambda box: self._followers[box].heard_ms, default="")
+
     async def propose(self, payload: bytes) -> Answer:
         """Append *payload* and return its answer once it is committed and applied.
 
@@ -141,6 +157,9 @@
         came: none of them can then win with a vote that *box* gave before it lost its
         memory. *box* must also hold everything that is committed.
         """
+        if box not in self._node.controllers:
+            self._note_standby(box, storage_id)
+            return
         known = self._candidacies.get(box)
         if known is None or known.storage_id != storage_id:
             known = _Candidacy(storage_id, monotonic_ms())
@@ -150,7 +169,7 @@
             return
         if follower.match_index < self._node.commit_index or not self._has_committed_own():
             return
-        others = [name for name in self._followers if name != box]
+        others = [name for name in self._node.controllers if name not in (box, self._node.box)]
         if any(self._followers[name].heard_ms < known.since_ms for name in others):
             return
         self._take_in(box, storage_id)
@@ -160,10 +179,61 @@
             return
         self._pinned.add((box, storage_id))
         CONTROLLER_LOG.info("Take in {} with data folder {}.", box, storage_id)
-        self._node.log.add(encode_command(VoterReadyCommand(box, storage_id)))
+        self._add(VoterReadyCommand(box, storage_id))
+
+    def _add(self, command: Command) -> None:
+        """Append a command that nobody waits for."""
+        entry = self._node.log.add(encode_command(command))
+        self._member_index = entry.log_index
+        self.follow_members()
         self._dirty.set()
         self._wake_all()
 
+    def _note_standby(self, box: str, storage_id: str) -> None:
+        """Replicate to a controller that does not count, so that it can come in at once."""
+        if box == self._node.box:
+            return
+        if box not in self._standbys:
+            CONTROLLER_LOG.info("Controller {} stands by with data folder {}.", box, storage_id)
+        self._standbys[box] = _Candidacy(storage_id, monotonic_ms())
+        self.follow_members()
+
+    def _change_members(self) -> None:
+        """Replace a controller that is gone by one that stands by, a step at a time."""
+        now_ms = monotonic_ms()
+        timeout_ms = self._node.election_timeout_ms
+        for box, known in list(self._standbys.items()):
+            if now_ms - known.since_ms > _STANDBY_KEPT_TIMEOUTS * timeout_ms:
+                del self._standbys[box]
+                self.follow_members()
+        if not self._has_committed_own() or self._node.commit_index < self._member_index:
+            return
+        silent = [
+            box
+            for box, follower in self._followers.items()
+            if now_ms - max(follower.heard_ms, self._started_ms) > _GONE_AFTER_TIMEOUTS * timeout_ms
+        ]
+        standbys = [
+            Standby(box, known.storage_id, self._is_current(box, known.storage_id))
+            for box, known in self._standbys.items()
+        ]
+        command = next_change(
+            self._node.controllers,
+            self._node.state.founder_count,
+            silent,
+            standbys,
+            self._node.box,
+        )
+        if command is not None:
+            CONTROLLER_LOG.info("Change of controllers: {}.", command)
+            self._add(command)
+
+    def _is_current(self, box: str, storage_id: str) -> bool:
+        follower = self._followers.get(box)
+        if follower is None or follower.storage_id != storage_id:
+            return False
+        return follower.match_index >= self._node.commit_index
+
     async def _flush(self) -> None:
         """Make added entries durable, as many as there are at a time."""
         while True:
@@ -181,6 +251,7 @@
         timeout = self._node.election_timeout_ms
         while True:
             await asyncio.sleep(timeout / 2_000)
+            self._change_members()
             since = monotonic_ms() - timeout
             if since > self._started_ms and not self._is_heard_since(since):
                 CONTROLLER_LOG.warning("Step down: no majority answers.")
--- a/src/foldloom/controllers/messages.py
+++ b/src/foldloom/controllers/messages.py
@@ -11,12 +11,16 @@
 
 
 class RequestVote(NamedTuple):
-    """A candidate asks for a vote, or whether it would get one (``is_trial``)."""
+    """A candidate asks for a vote, or whether it would get one (``is_trial``).
+
+    With ``is_handover`` the leader asked it to stand, so that it was heard lately matters not.
+    """
 
     term: int
     last_index: int
     last_term: int
     is_trial: bool
+    is_handover: bool = False
 
 
 class VoteReply(NamedTuple):
@@ -96,6 +100,12 @@
     storage_id: str
 
 
+class StandNow(NamedTuple):
+    """A leader that is being stopped asks a controller to lead in its place."""
+
+    term: int
+
+
 class ConfigPull(NamedTuple):
     """A box asks for what it misses after version ``have``."""
 
@@ -123,6 +133,7 @@
         Readmit,
         ConfigPull,
         ConfigReply,
+        StandNow,
     ),
     start=20,
 ):
--- a/src/foldloom/controllers/node.py
+++ b/src/foldloom/controllers/node.py
@@ -16,6 +16,7 @@
 from foldloom.controllers.election import Elections
 from foldloom.controllers.leadership import ANY_STORAGE, Leadership
 from foldloom.controllers.log import ReplicatedLog
+from foldloom.controllers.members import majority_of, newest_table
 from foldloom.controllers.messages import (
     Append,
     AppendReply,
@@ -25,6 +26,7 @@
     ProposeReply,
     ReadBarrier,
     Readmit,
+    StandNow,
 )
 from foldloom.controllers.state import (
     Answer,
@@ -45,6 +47,8 @@
 _SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 _PROPOSE_TIMEOUT_MS = 5_000
 _READMIT_INTERVAL_S = 0.2
+_HANDOVER_CHECK_S = 0.01
+_REPLACED_AFTER_TIMEOUTS = 2
 
 
 def open_storage(settings: Settings) -> tuple[LogStorage, ReplicatedLog]:
@@ -71,6 +75,7 @@
         initial: The configuration at version 0.
         on_config: Called with each newer confirmed configuration and what led to it.
         on_publication: Called with each newer published document.
+        contacts: Returns the controllers that may know the leader.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         initial: Config,
         on_config: Callable[[Config, list[ChangeSet]], None],
         on_publication: Callable[[Publication], None] = lambda _publication: None,
+        contacts: Callable[[], list[str]] = list,
     ) -> None:
         self.network = network
         self.box = settings.box
@@ -88,9 +94,12 @@
         self._metrics = metrics
         self._on_config = on_config
         self._on_publication = on_publication
+        self._contacts = contacts
         self._storage, self.log = open_storage(settings)
         self._initial = initial
         self._state = ReplicatedState(initial)
+        self._table_key: tuple[int, int, int] | None = None
+        self._table: dict[str, str] = {}
         self._start_index = self.log.last_index
         self._start_controllers = self._controllers_of_log()
         self._commit_index = 0
@@ -149,17 +158,18 @@
     def controllers(self) -> dict[str, str]:
         """The controllers of the configuration and their data folders' ids.
 
-        After a start nothing is known to be committed yet: until a leader has shown what
-        is, the newest table in the own log counts, as in Raft.
+        The newest table in the own log counts, committed or not, as in Raft.
         """
-        if self._start_index:
-            return self._start_controllers
-        return self._state.config.controllers
+        key = (self._applied_index, self.log.last_index, self.log.last_term)
+        if key != self._table_key:
+            self._table_key = key
+            self._table = self._read_table()
+        return self._table
 
     @property
     def majority(self) -> int:
         """How many controllers are more than half."""
-        return len(self.controllers) // 2 + 1
+        return majority_of(self.controllers)
 
     @property
     def storage_id(self) -> str:
@@ -225,6 +235,21 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
 
+    async def hand_over(self) -> str:
+        """Before a planned stop, have another controller lead; return which, or ''."""
+        if self._leadership is None:
+            return ""
+        heir = self._leadership.heir()
+        if not heir:
+            return ""
+        term = self.log.term
+        self.step_down()
+        self.network.tell(heir, StandNow(term))
+        deadline_ms = monotonic_ms() + self.election_timeout_ms
+        while self.log.term == term and monotonic_ms() < deadline_ms:
+            await asyncio.sleep(_HANDOVER_CHECK_S)
+        return heir
+
     def fail(self, error: OSError) -> None:
         """Stop taking part: after a failed write nothing that is told can be relied on."""
         CONTROLLER_LOG.error("The disk failed: {}. This controller takes no part any more.", error)
@@ -331,11 +356,23 @@
         config = self._state.config
         if self._leadership is not None:
             if self.box in config.controllers:
-                self._leadership.follow_config()
+                self._leadership.follow_members()
             else:
                 self.step_down()
         self._on_config(config, self._state.changes_since(version_before))
 
+    def _read_table(self) -> dict[str, str]:
+        if self._start_index:
+            # Nothing is known to be committed since the start.
+            base, first = self._start_controllers, self._start_index + 1
+        else:
+            base, first = self._state.config.controllers, self._applied_index + 1
+        if first > self.log.last_index:
+            return dict(base)
+        entries = self.log.entries_from(first, self.log.last_index - first + 1)
+        is_founded = self._state.is_founded or bool(self._start_index)
+        return newest_table(base, is_founded, (entry.payload for entry in entries))
+
     def _controllers_of_log(self) -> dict[str, str]:
         """Return the controllers after every entry of the own log, committed or not."""
         state = ReplicatedState(self._initial)
@@ -385,6 +422,11 @@
         if prev_term is None and message.prev_index > self.log.snapshot.last_index:
             return self._append_reply(False, self.log.snapshot.last_index)
         await self.log.accept(message.entries)
+        if message.prev_index < self._start_index:
+            # What was read at the start may have been replaced.
+            self._start_index = self.log.last_index
+            self._start_controllers = self._controllers_of_log()
+            self._table_key = None
         self._heard_leader_ms = monotonic_ms()
         match_index = message.prev_index + len(message.entries)
         self.commit(min(message.commit_index, match_index))
@@ -433,16 +475,22 @@
             return BarrierReply(False, 0, error.leader)
 
     def _on_readmit(self, sender: str, message: Readmit) -> None:
-        if self._leadership is not None and sender in self.controllers:
+        if self._leadership is not None:
             self._leadership.admit(sender, message.storage_id)
 
     async def _ask_readmission(self) -> None:
-        """While this controller is not counted, ask the leader to take it in."""
+        """While this controller is not counted, or hears no leader, ask to be taken in.
+
+        One that was replaced while it was away counts itself still; only its silence tells.
+        """
         while True:
             await asyncio.sleep(_READMIT_INTERVAL_S)
-            if self.may_vote or self._is_failed or not self._leader:
+            is_heard = self.leader_silent_ms < _REPLACED_AFTER_TIMEOUTS * self.election_timeout_ms
+            if self._is_failed or self.is_leading or (self.may_vote and is_heard):
                 continue
-            self.network.tell(self._leader, Readmit(self.storage_id))
+            asked = [self._leader] if self._leader and is_heard else self._contacts()
+            for box in asked:
+                self.network.tell(box, Readmit(self.storage_id))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/foldloom/controllers/state.py
+++ b/src/foldloom/controllers/state.py
@@ -51,6 +51,19 @@
     storage_id: str
 
 
+class ControllerJoinCommand(msgspec.Struct, tag="controller-join", array_like=True, frozen=True):
+    """Count one controller more, with the data folder *storage_id*."""
+
+    box: str
+    storage_id: str
+
+
+class ControllerLeaveCommand(msgspec.Struct, tag="controller-leave", array_like=True, frozen=True):
+    """Count the controller *box* no longer."""
+
+    box: str
+
+
 class BoxesSettledCommand(msgspec.Struct, tag="boxes-settled", array_like=True, frozen=True):
     """End the joint box list of *epoch*: the next list is the only one."""
 
@@ -81,6 +94,8 @@
     | BoxesSettledCommand
     | FoundCommand
     | PublishCommand
+    | ControllerJoinCommand
+    | ControllerLeaveCommand
 )
 
 _COMMANDS = msgspec.msgpack.Decoder(Command)
@@ -136,6 +151,7 @@
     change_sets: list[ChangeSet]
     is_founded: bool
     publication: Publication = NO_PUBLICATION
+    founder_count: int = 0
 
 
 _SAVED = msgspec.msgpack.Decoder(_Saved)
@@ -165,12 +181,18 @@
         self._change_sets: list[ChangeSet] = []
         self._is_founded = False
         self._publication = NO_PUBLICATION
+        self._founder_count = len(config.controllers)
 
     @property
     def publication(self) -> Publication:
         """What was published under the highest version."""
         return self._publication
 
+    @property
+    def founder_count(self) -> int:
+        """How many controllers there are meant to be."""
+        return self._founder_count
+
     @property
     def is_founded(self) -> bool:
         """Whether the first boxes and controllers are written down."""
@@ -204,6 +226,7 @@
             self._change_sets,
             self._is_founded,
             self._publication,
+            self._founder_count,
         )
         return _ENCODER.encode(saved)
 
@@ -216,11 +239,13 @@
         self._change_sets = list(saved.change_sets)
         self._is_founded = saved.is_founded
         self._publication = saved.publication
+        self._founder_count = saved.founder_count
 
     def found(self, command: FoundCommand) -> Answer:
         """Take the first boxes and controllers; a second time changes nothing."""
         if not self._is_founded:
             self._is_founded = True
+            self._founder_count = len(command.controllers)
             first = empty_config(command.boxes, command.controllers)
             self._config = first._replace(version=1)
             self._change_sets.clear()
@@ -262,6 +287,19 @@
         self._change([_controller_change(self._config, command)])
         return Answer(200, self._config.version)
 
+    def join(self, command: ControllerJoinCommand) -> Answer:
+        """Count one controller more."""
+        before = self._config.controllers.get(command.box)
+        after = command.storage_id
+        self._change([Change(section=CONTROLLERS, name=command.box, before=before, after=after)])
+        return Answer(200, self._config.version)
+
+    def leave(self, command: ControllerLeaveCommand) -> Answer:
+        """Count a controller no longer."""
+        before = self._config.controllers.get(command.box)
+        self._change([Change(section=CONTROLLERS, name=command.box, before=before, after=None)])
+        return Answer(200, self._config.version)
+
     def settle_boxes(self, command: BoxesSettledCommand) -> Answer:
         """End a joint box list."""
         boxes = self._config.boxes
@@ -330,3 +368,13 @@
 @_apply.register
 def _(command: PublishCommand, state: ReplicatedState) -> Answer:
     return state.publish(command)
+
+
+@_apply.register
+def _(command: ControllerJoinCommand, state: ReplicatedState) -> Answer:
+    return state.join(command)
+
+
+@_apply.register
+def _(command: ControllerLeaveCommand, state: ReplicatedState) -> Answer:
+    return state.leave(command)
--- a/src/foldloom/fleet/registry.py
+++ b/src/foldloom/fleet/registry.py
@@ -27,7 +27,7 @@
 from foldloom.fleet.published import PublishedHolder
 from foldloom.logs import WORKER_LOG
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
-from foldloom.settings import ENTRY
+from foldloom.settings import CONTROLLER, ENTRY
 from foldloom.workers.catalog import WorkerCatalog
 from foldloom.workers.records import WorkerRecord, WorkerState
 
@@ -149,14 +149,19 @@
         except PeerUnreachableError:
             return
 
-    def _live_entries(self) -> list[NodeRecord]:
+    def live_controllers(self) -> list[str]:
+        """Return the controllers that joined here and are live."""
+        return [record.node for record in self._live() if record.role == CONTROLLER]
+
+    def _live(self) -> list[NodeRecord]:
         now_ms = monotonic_ms()
         return [
-            known.record
-            for known in self._joined.values()
-            if known.record.role == ENTRY and now_ms - known.heard_ms < _LIVE_MS
+            known.record for known in self._joined.values() if now_ms - known.heard_ms < _LIVE_MS
         ]
 
+    def _live_entries(self) -> list[NodeRecord]:
+        return [record for record in self._live() if record.role == ENTRY]
+
     def _on_join(self, _sender: str, message: Join) -> JoinReply:
         record = message.record
         now_ms = monotonic_ms()
--- a/src/foldloom/nodes/controller.py
+++ b/src/foldloom/nodes/controller.py
@@ -58,6 +58,7 @@
             empty_config({}, founders),
             lambda _config, _changes: None,
             self._holder.adopt,
+            lambda: self._view.controllers,
         )
         self._publisher = Publisher(self._node, self._network)
         self._joiner = Joiner(
@@ -70,6 +71,16 @@
         """This node's counters."""
         return self._metrics
 
+    @property
+    def is_leading(self) -> bool:
+        """Whether this controller leads, as far as it knows."""
+        return self._node.is_leading
+
+    @property
+    def members(self) -> list[str]:
+        """The controllers that count, by the own log."""
+        return sorted(self._node.controllers)
+
     @property
     def published_version(self) -> int:
         """The newest published version known here, for certain or not."""
@@ -107,8 +118,15 @@
         CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
 
     async def stop(self) -> None:
-        """End every part."""
+        """Stop as planned: a leader has another one lead first."""
         self._view.set_leaving()
+        heir = await self._node.hand_over()
+        if heir:
+            CONTROLLER_LOG.info("Leadership was handed to {}.", heir)
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End every part without a word to the others."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -117,7 +135,10 @@
         CONTROLLER_LOG.info("Controller {} has stopped.", self._view.own.label)
 
     def _controllers(self) -> list[str]:
-        return sorted({self._settings.box, *self._node.controllers})
+        """Return all that take workers' and operators' calls, with a vote or without."""
+        return sorted(
+            {self._settings.box, *self._node.controllers, *self._registry.live_controllers()}
+        )
 
     def _on_publication(self, publication: Publication) -> None:
         self._registry.push(publication)
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -307,11 +307,11 @@
             known.holders.add(holder)
             return
         past = self._past.get(task)
-        if past is not None and past.end is not None and order.is_resumed:
-            # An earlier run's end says nothing of a later one, unless the task is done.
-            if past.end.cause is EndCause.DONE:
-                self._ends.append(EndAction(holder, past.end))
-                return
+        told = None if past is None else past.end
+        # An earlier run's end says nothing of a later one, unless the task is done.
+        if told is not None and order.is_resumed and told.cause is EndCause.DONE:
+            self._ends.append(EndAction(holder, told))
+            return
         number = order.run
         if past is not None:
             number = max(number, past.number + 1)
--- /dev/null
+++ b/tests/test_nodes_controllers.py
@@ -0,0 +1,265 @@
+# SPDX-License-Identifier: MIT
+"""Controllers that find each other through seeds: founding, losses, replacements."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cluster import free_port
+from foldloom.nodes.controller import ControllerHost
+from foldloom.settings import Settings, settings_from
+
+_WAIT_S = 15.0
+_TIMEOUT_MS = 1_000.0
+
+
+def node_settings(port: int, seeds: list[str], role: str, folder: Path | str = "") -> Settings:
+    """Return the settings of a node on loopback."""
+    address = f"127.0.0.1:{port}"
+    return settings_from(
+        {
+            "box": address,
+            "zone": "a",
+            "roles": [role],
+            "listen": address,
+            "seeds": seeds,
+            "data_folder": str(folder),
+            "http": {"host": "127.0.0.1", "port": free_port()},
+        }
+    )
+
+
+class Core:
+    """Controllers in one event loop, each with its own sockets and data folder."""
+
+    def __init__(self, folder: Path, founders: int = 3) -> None:
+        self._folder = folder
+        self.ports = [free_port() for _ in range(founders)]
+        self._seeds = [f"127.0.0.1:{port}" for port in self.ports]
+        self.hosts: dict[int, ControllerHost] = {}
+
+    async def start(self, port: int, is_first_start: bool = False) -> None:
+        """Start the controller at *port*."""
+        settings = node_settings(port, self._seeds, "controller", self._folder / str(port))
+        self.hosts[port] = ControllerHost(settings, is_first_start, str(port))
+        await self.hosts[port].start()
+
+    async def start_all(self, is_first_start: bool = False) -> None:
+        """Start every founder."""
+        for port in self.ports:
+            await self.start(port, is_first_start)
+
+    async def kill(self, port: int) -> None:
+        """End a controller without a word to the others."""
+        await self.hosts.pop(port).kill()
+
+    def wipe(self, port: int) -> None:
+        """Lose the disk of a controller that does not run."""
+        shutil.rmtree(self._folder / str(port))
+
+    async def publish(self, version: int) -> None:
+        """Publish through any controller until one acknowledges."""
+
+        async def publish_once() -> bool:
+            for host in list(self.hosts.values()):
+                answer = await host.publish(version, b"%d" % version, _TIMEOUT_MS)
+                if answer.is_ok():
+                    return True
+            return False
+
+        await until(publish_once, f"version {version} is acknowledged")
+
+    async def read(self) -> bytes:
+        """Read the newest through any controller."""
+        found: list[bytes] = []
+
+        async def read_once() -> bool:
+            for host in list(self.hosts.values()):
+                answer = await host.newest(_TIMEOUT_MS)
+                if answer.is_ok():
+                    found.append(answer.ok.document)
+                    return True
+            return False
+
+        await until(read_once, "the newest is read")
+        return found[0]
+
+    def leader(self) -> int:
+        """Return the port of the leader, or 0."""
+        leading = [port for port, host in self.hosts.items() if host.is_leading]
+        return leading[0] if leading else 0
+
+    def members(self) -> set[int]:
+        """Return the ports of the controllers that count, as the leader knows."""
+        host = self.hosts.get(self.leader())
+        return set() if host is None else {int(one.rpartition(":")[2]) for one in host.members}
+
+    async def stop(self) -> None:
+        """End all."""
+        for port in list(self.hosts):
+            await self.kill(port)
+
+
+async def until(condition: Callable[[], Awaitable[Any]], what: str) -> None:
+    """Wait for *condition*; fail when it does not come true in time."""
+    deadline = asyncio.get_running_loop().time() + _WAIT_S
+    while asyncio.get_running_loop().time() < deadline:
+        if await condition():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(f"not within {_WAIT_S} s: {what}")
+
+
+def play(folder: Path, scenario: Callable[[Core], Awaitable[None]]) -> None:
+    """Found a core of three and play *scenario* on it."""
+
+    async def run() -> None:
+        core = Core(folder)
+        try:
+            await core.start_all(is_first_start=True)
+            await core.publish(1)
+            await scenario(core)
+        finally:
+            await core.stop()
+
+    asyncio.run(run())
+
+
+async def members_are(core: Core, ports: set[int]) -> None:
+    """Wait until just *ports* count."""
+
+    async def are() -> bool:
+        return core.members() == ports
+
+    await until(are, f"members {ports}, now {core.members()}")
+
+
+class TestPublishing:
+    """What is acknowledged holds."""
+
+    def test_highest_version_holds(self, tmp_path: Path) -> None:
+        """A version that is not above the one held is acknowledged and changes nothing."""
+
+        async def scenario(core: Core) -> None:
+            await core.publish(7)
+            await core.publish(3)
+            assert await core.read() == b"7"
+
+        play(tmp_path, scenario)
+
+    def test_all_killed(self, tmp_path: Path) -> None:
+        """All are killed right after an acknowledgement and come back with what it said."""
+
+        async def scenario(core: Core) -> None:
+            await core.publish(5)
+            for port in core.ports:
+                await core.kill(port)
+            await core.start_all()
+            assert await core.read() == b"5"
+
+        play(tmp_path, scenario)
+
+    def test_wiped_then_another_lost(self, tmp_path: Path) -> None:
+        """A wiped disk does not vote; what was acknowledged is read once both others are back."""
+
+        async def scenario(core: Core) -> None:
+            wiped, behind = core.leader(), next(p for p in core.ports if p != core.leader())
+            await core.kill(behind)
+            await core.publish(9)
+            await core.kill(wiped)
+            core.wipe(wiped)
+            kept = next(port for port in core.ports if port not in (wiped, behind))
+            await core.kill(kept)
+            await core.start(wiped)
+            await core.start(behind)
+            await asyncio.sleep(2.5)
+            assert core.leader() == 0
+            await core.start(kept)
+            assert await core.read() == b"9"
+            await members_are(core, set(core.ports))
+
+        play(tmp_path, scenario)
+
+
+class TestReplacing:
+    """Controllers that are gone for good."""
+
+    @pytest.mark.parametrize("is_leader", [True, False])
+    def test_another_address(self, tmp_path: Path, is_leader: bool) -> None:
+        """An empty one at another address takes the place of one that is gone."""
+
+        async def scenario(core: Core) -> None:
+            leader = core.leader()
+            gone = leader if is_leader else next(p for p in core.ports if p != leader)
+            fresh = free_port()
+            await core.kill(gone)
+            await core.start(fresh)
+            expected = {*core.ports, fresh} - {gone}
+            await members_are(core, expected)
+            await core.publish(4)
+            # The newcomer counts: another one may be lost now.
+            await core.kill(next(port for port in core.ports if port != gone))
+            await core.publish(6)
+            assert await core.read() == b"6"
+
+        play(tmp_path, scenario)
+
+    def test_replaced_one_comes_back(self, tmp_path: Path) -> None:
+        """One that was replaced while it was away stands by and does no harm."""
+
+        async def scenario(core: Core) -> None:
+            away = next(port for port in core.ports if port != core.leader())
+            fresh = free_port()
+            await core.kill(away)
+            await core.start(fresh)
+            expected = {*core.ports, fresh} - {away}
+            await members_are(core, expected)
+            await core.start(away)
+            await core.publish(8)
+            await asyncio.sleep(1.5)
+            assert core.members() == expected
+            assert await core.read() == b"8"
+            # It follows as a standby, so it can come in again.
+            await core.kill(fresh)
+            await members_are(core, set(core.ports))
+
+        play(tmp_path, scenario)
+
+    def test_spare_stands_by(self, tmp_path: Path) -> None:
+        """One that is added while all are there gets no vote."""
+
+        async def scenario(core: Core) -> None:
+            await core.start(free_port())
+            await asyncio.sleep(1.5)
+            assert core.members() == set(core.ports)
+
+        play(tmp_path, scenario)
+
+
+class TestHandover:
+    """A planned stop of the leader."""
+
+    def test_another_leads_at_once(self, tmp_path: Path) -> None:
+        """Another controller leads before an election time-out has passed."""
+
+        async def scenario(core: Core) -> None:
+            leader = core.leader()
+            host = core.hosts.pop(leader)
+            began = asyncio.get_running_loop().time()
+            stopping = asyncio.create_task(host.stop())
+
+            async def is_led() -> bool:
+                return core.leader() != 0
+
+            await until(is_led, "another leads")
+            assert asyncio.get_running_loop().time() - began < 0.5
+            await stopping
+            await core.publish(2)
+
+        play(tmp_path, scenario)
