--- a/src/foldloom/entry/job_runner.py
+++ b/src/foldloom/entry/job_runner.py
@@ -11,11 +11,18 @@
 from foldloom.jobs.spec import Job, Step, TaskId
 from foldloom.logs import ENTRY_LOG
 from foldloom.metrics import Metrics
-from foldloom.owners.client import Batch, OwnerClient
-from foldloom.owners.messages import EndCause, RunEnd, RunOrder, SubmitRuns, SubmitStatus
+from foldloom.owners.client import OwnerClient
+from foldloom.owners.messages import (
+    EndCause,
+    Objective,
+    RunEnd,
+    RunOrder,
+    SubmitRuns,
+    SubmitStatus,
+)
 from foldloom.peers.wire import monotonic_ms
 
-_LATE_FACTOR = 3.0
+_RETRY_AFTER_MS = 500
 
 
 class JobOutcome(Enum):
@@ -68,10 +75,9 @@
         self._deadline_ms = deadline_ms
         self._began_ms = monotonic_ms()
         self._ends: asyncio.Queue[RunEnd] = asyncio.Queue()
-        self._batches: dict[int, Batch] = {}
+        self._templates: dict[int, SubmitRuns] = {}
         self._attempts: dict[TaskId, _Attempts] = {}
         self._left = [step.tasks for step in job.steps]
-        self._has_run = False
 
     async def run(self) -> JobResult:
         """Return the job's one result; whatever still runs of it then is stopped."""
@@ -79,9 +85,7 @@
             async with asyncio.timeout((self._deadline_ms - monotonic_ms()) / 1_000):
                 return await self._run_steps()
         except TimeoutError:
-            if self._has_run:
-                return JobResult(JobOutcome.EXPIRED, "deadline")
-            return JobResult(JobOutcome.EXPIRED, "no owner")
+            return await self._give_up("deadline", _RETRY_AFTER_MS)
         except asyncio.CancelledError:
             return JobResult(JobOutcome.EXPIRED, "given up")
         finally:
@@ -93,15 +97,17 @@
             end = await self._ends.get()
             if end.cause is EndCause.DONE:
                 refusal = await self._note_done(end)
-                continue
-            refusal = await self._note_failed(end)
+            elif end.cause is EndCause.HOPELESS:
+                refusal = await self._give_up("too late", _RETRY_AFTER_MS)
+            else:
+                refusal = await self._note_failed(end)
         return refusal or JobResult(JobOutcome.COMPLETED)
 
     async def _start_ready_steps(self) -> JobResult | None:
         for number, step in enumerate(self._job.steps):
-            if number in self._batches or any(self._left[needed] for needed in step.depends_on):
+            if number in self._templates or any(self._left[needed] for needed in step.depends_on):
                 continue
-            self._batches[number] = Batch(self._template(step), self._ends)
+            self._templates[number] = self._template(step)
             orders = [RunOrder(number, task, 1) for task in range(step.tasks)]
             refusal = await self._submit(number, orders)
             if refusal is not None:
@@ -136,32 +142,36 @@
         return await self._submit(task.step, [RunOrder(task.step, task.number, attempts.run)])
 
     async def _submit(self, step: int, orders: list[RunOrder]) -> JobResult | None:
-        reply = await self._client.submit(self._batches[step], orders)
+        reply = await self._client.submit(self._templates[step], self._began_ms, self._ends, orders)
         if reply.status is SubmitStatus.REFUSED:
-            if self._has_run:
-                return JobResult(JobOutcome.EXPIRED, reply.reason)
-            return JobResult(JobOutcome.REFUSED, reply.reason, reply.retry_after_ms)
-        self._has_run = True
+            return await self._give_up(reply.reason, reply.retry_after_ms)
         return None
 
+    async def _give_up(self, reason: str, retry_after_ms: int) -> JobResult:
+        """End the job; say that nothing ran only if every owner that was asked says so."""
+        if await self._client.give_up(self._job.job_id):
+            return JobResult(JobOutcome.EXPIRED, reason)
+        return JobResult(JobOutcome.REFUSED, reason, retry_after_ms)
+
     def _template(self, step: Step) -> SubmitRuns:
-        now_ms = monotonic_ms()
-        objective_ms = self._queue.objective_ms(self._chain_ms())
-        aim_ms = self._began_ms + objective_ms - now_ms
-        late_ms = self._began_ms + _LATE_FACTOR * objective_ms - now_ms
         return SubmitRuns(
             token=0,
             job_id=self._job.job_id,
             repeat=0,
+            queue=self._queue.name,
             service=self._queue.service,
             spec=self._job.spec,
             demand=step.demand,
             placement=step.placement,
             priority=self._queue.priority,
+            tasks=step.tasks,
             estimate_ms=step.estimate_ms,
-            aim_ms=int(aim_ms),
-            late_ms=int(late_ms),
-            deadline_ms=int(self._deadline_ms - now_ms),
+            objective=Objective(
+                stretch=self._queue.stretch,
+                slack_ms=self._queue.slack_ms,
+                other_ms=int(self._chain_ms() - step.estimate_ms),
+            ),
+            deadline_ms=int(self._deadline_ms - self._began_ms),
             old_right_ms=0,
             orders=[],
         )
--- a/src/foldloom/fleet/published.py
+++ b/src/foldloom/fleet/published.py
@@ -7,6 +7,7 @@
 
 from foldloom.controllers.state import NO_PUBLICATION, Publication
 from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.cache import PublicationCache
 from foldloom.fleet.messages import Noted, Published, PullPublished
 from foldloom.logs import CONFIG_LOG
 from foldloom.peers.wire import PeerNetwork
@@ -20,12 +21,19 @@
     Args:
         network: The peers.
         on_change: Called with each newer publication, after it is held.
+        cache: Where to keep it over a restart; ``None`` on a node without a disk.
     """
 
-    def __init__(self, network: PeerNetwork, on_change: Callable[[Publication], None]) -> None:
+    def __init__(
+        self,
+        network: PeerNetwork,
+        on_change: Callable[[Publication], None],
+        cache: PublicationCache | None = None,
+    ) -> None:
         self._network = network
         self._on_change = on_change
-        self._publication = NO_PUBLICATION
+        self._cache = cache
+        self._publication = NO_PUBLICATION if cache is None else cache.read()
         self._pulling_from: set[str] = set()
         network.on(Published, self._on_published)
         network.on(PullPublished, self._on_pull)
@@ -47,6 +55,8 @@
         self._publication = publication
         CONFIG_LOG.info("Published version {} is in force.", publication.version)
         self._on_change(publication)
+        if self._cache is not None:
+            self._cache.write_soon(publication)
 
     async def catch_up(self, node: str, version: int) -> None:
         """Pull from *node* if it has a newer *version* in force."""
--- a/src/foldloom/fleet/view.py
+++ b/src/foldloom/fleet/view.py
@@ -71,6 +71,14 @@
         ]
         return sorted(set(nodes))
 
+    @property
+    def entries(self) -> list[str]:
+        """The entry nodes of all zones, this one included, in a fixed order."""
+        nodes = [
+            record.node for record in [*self._nodes.values(), self._own] if record.role == ENTRY
+        ]
+        return sorted(set(nodes))
+
     def is_leaving(self, node: str) -> bool:
         """Return whether a planned stop of *node* began, as far as known."""
         record = self._own if node == self._own.node else self._nodes.get(node)
--- a/src/foldloom/nodes/controller.py
+++ b/src/foldloom/nodes/controller.py
@@ -15,6 +15,7 @@
 from foldloom.controllers.node import ControllerNode
 from foldloom.controllers.state import Publication
 from foldloom.controllers.storage import format_folder
+from foldloom.fleet.cache import PublicationCache
 from foldloom.fleet.joiner import Joiner
 from foldloom.fleet.messages import NodeRecord
 from foldloom.fleet.published import PublishedHolder
@@ -46,7 +47,8 @@
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
         own = NodeRecord(settings.box, self._network.incarnation, settings.zone, CONTROLLER, label)
         self._view = FleetView(own, settings.seeds)
-        self._holder = PublishedHolder(self._network, self._on_publication)
+        cache = PublicationCache(settings.data_folder)
+        self._holder = PublishedHolder(self._network, self._on_publication, cache)
         self._registry = Registry(self._network, self._holder, self._controllers)
         is_founder = is_first_start and settings.box in settings.seeds
         _format_if_new(settings.data_folder, is_founder)
--- a/src/foldloom/nodes/entry.py
+++ b/src/foldloom/nodes/entry.py
@@ -65,6 +65,7 @@
         self._elector = Elector(
             self._view, self._network, settings.timings, self._make_owner, self._on_beat
         )
+        self._is_configured = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -89,12 +90,22 @@
         await self._network.start()
         self._spawn(self._joiner.run())
         self._spawn(self._elector.run())
+        self._spawn(self._client.run())
         ENTRY_LOG.info("Entry node {} of zone {} is up.", self._view.own.label, self._view.own.zone)
 
     async def run_job(self, job: Job, queue: Queue, timeout_ms: float) -> JobResult:
         """Run *job* and return its result, at the latest after *timeout_ms*."""
         return await self._desk.run(job, queue, monotonic_ms() + timeout_ms)
 
+    async def wait_configured(self, timeout_ms: float) -> QueueTable | None:
+        """Return the queues as soon as there are some, or ``None`` after *timeout_ms*."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                await self._is_configured.wait()
+        except TimeoutError:
+            return None
+        return self._queues
+
     def follow_seeds(self, seeds: list[str]) -> None:
         """Take new seeds from reloaded settings."""
         self._view.set_seeds(seeds)
@@ -131,6 +142,7 @@
 
     def _on_publication(self, publication: Publication) -> None:
         self._queues = self._read_queues(publication)
+        self._is_configured.set()
 
     def _on_beat(self, beat: OwnerBeat) -> None:
         self._client.hear_beat(beat, self._holder.version)
--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -1,90 +1,36 @@
 # SPDX-License-Identifier: MIT
-"""An entry node's side of its zone's owner: hand runs in, hear their ends, follow a new owner."""
+"""An entry node's side of the owners: which one gets a job's runs, and where their ends go."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine
 from typing import Any
 
-from foldloom.exceptions import PeerUnreachableError
-from foldloom.fleet.messages import Echo, OwnerBeat, OwnerRecord
+from foldloom.fleet.messages import OwnerBeat
 from foldloom.fleet.view import FleetView
-from foldloom.jobs.spec import TaskId
+from foldloom.jobs.spec import RunId
 from foldloom.logs import PLACE_LOG
+from foldloom.owners.batches import Batch
 from foldloom.owners.messages import (
-    CancelJob,
+    EndCause,
     EndsNoted,
     RunEnd,
     RunOrder,
     RunsEnded,
     SubmitReply,
     SubmitRuns,
-    SubmitStatus,
 )
-from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.owners.tie import OwnerTie
+from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import TimingSettings
 
-_ASK_TIMEOUT_MS = 150
-_NOT_OWNER_PAUSE_S = 0.02
-_CANCEL_TRIES = 3
-
-
-class Batch:
-    """Runs of one step of a job that were handed in and have not ended.
-
-    Args:
-        template: What is the same in every message about them.
-        ends: Where their ends go.
-    """
-
-    def __init__(self, template: SubmitRuns, ends: asyncio.Queue[RunEnd]) -> None:
-        self.template = template
-        self.ends = ends
-        self.began_ms = monotonic_ms()
-        self._open: dict[TaskId, RunOrder] = {}
-
-    def add(self, orders: Iterable[RunOrder]) -> None:
-        """Note runs that are handed in."""
-        for order in orders:
-            self._open[self._task(order)] = order
-
-    def close(self, end: RunEnd) -> bool:
-        """Note an end; return whether it is that of an open run."""
-        order = self._open.get(end.run_id.task)
-        if order is None or end.run_id.run < order.run:
-            return False
-        del self._open[end.run_id.task]
-        return True
-
-    @property
-    def orders(self) -> list[RunOrder]:
-        """The runs that are open."""
-        return list(self._open.values())
-
-    def is_open(self, order: RunOrder) -> bool:
-        """Return whether the end of *order* is still to come."""
-        return self._open.get(self._task(order)) == order
-
-    def message(self, token: int, orders: list[RunOrder], old_right_ms: float) -> SubmitRuns:
-        """Return the message that hands *orders* to the owner with *token*."""
-        spent_ms = int(monotonic_ms() - self.began_ms)
-        template = self.template
-        return template._replace(
-            token=token,
-            aim_ms=template.aim_ms - spent_ms,
-            late_ms=template.late_ms - spent_ms,
-            deadline_ms=template.deadline_ms - spent_ms,
-            old_right_ms=int(old_right_ms),
-            orders=orders,
-        )
-
-    def _task(self, order: RunOrder) -> TaskId:
-        return TaskId(self.template.job_id, self.template.repeat, order.step, order.number)
+_LOST_CHECK_S = 0.05
+_OWNER_CHECK_S = 0.01
 
 
 class OwnerClient:
-    """Talk to the owner of this node's zone.
+    """Talk to the owners of all zones, first of all to that of the own one.
 
     Args:
         view: The other nodes.
@@ -95,113 +41,119 @@
     def __init__(self, view: FleetView, network: PeerNetwork, timings: TimingSettings) -> None:
         self._view = view
         self._network = network
-        self._session_ms = float(timings.session_ms)
-        self._owner = OwnerRecord(view.own.zone)
-        self._echoed_ms = -self._session_ms
-        self._beaten_ms = -self._session_ms
-        self._batches: dict[str, list[Batch]] = {}
-        self._has_owner = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._timings = timings
+        self._home = OwnerTie(view.own.zone, view, network, timings)
+        self._jobs: set[str] = set()
+        self._ties: dict[str, OwnerTie] = {view.own.zone: self._home}
+        self._tasks: set[asyncio.Task[Any]] = set()
         network.on(RunsEnded, self._on_ends)
 
     @property
-    def owner(self) -> OwnerRecord:
-        """The owner that runs are handed to."""
-        return self._owner
+    def silent_ms(self) -> float:
+        """How long ago any owner was heard that could take a job."""
+        return min(tie.silent_ms for tie in self._ties.values())
 
     @property
-    def silent_ms(self) -> float:
-        """How long ago the owner was heard."""
-        return monotonic_ms() - self._beaten_ms
+    def home_silent_ms(self) -> float:
+        """How long ago the owner of the own zone was heard."""
+        return self._home.silent_ms
 
     def hear_beat(self, beat: OwnerBeat, published_version: int) -> None:
-        """Grant the owner its right; hand everything open to a new one."""
-        is_new = beat.owner.token != self._owner.token
-        old_right_ms = max(0.0, self._echoed_ms + self._session_ms - monotonic_ms())
-        self._owner = beat.owner
-        self._beaten_ms = monotonic_ms()
-        echo = Echo(beat.owner.token, beat.sent_ms, self._view.own, published_version)
-        self._network.tell(beat.owner.node, echo)
-        self._echoed_ms = monotonic_ms()
-        self._has_owner.set()
-        if is_new:
-            self._resume(old_right_ms)
-
-    async def submit(self, batch: Batch, orders: list[RunOrder]) -> SubmitReply:
-        """Hand *orders* in; return once the owner has taken or refused them."""
-        batch.add(orders)
-        batches = self._batches.setdefault(batch.template.job_id, [])
-        if batch not in batches:
-            batches.append(batch)
-        return await self._send(batch, orders, 0.0)
+        """Take a beat of any zone's owner."""
+        tie = self._ties.get(beat.owner.zone)
+        if tie is None:
+            tie = OwnerTie(beat.owner.zone, self._view, self._network, self._timings)
+            self._ties[beat.owner.zone] = tie
+        tie.hear_beat(beat, published_version)
+
+    async def run(self) -> None:
+        """Tell of runs whose owner fell silent, once they have ended, until cancelled."""
+        while True:
+            await asyncio.sleep(_LOST_CHECK_S)
+            for tie in self._ties.values():
+                for batch, order in tie.take_lost():
+                    end = RunEnd(RunId(batch.task(order), order.run), EndCause.LOST)
+                    batch.ends.put_nowait(end)
+
+    async def submit(
+        self,
+        template: SubmitRuns,
+        began_ms: float,
+        ends: asyncio.Queue[RunEnd],
+        orders: list[RunOrder],
+    ) -> SubmitReply:
+        """Hand runs in where they can run, once an owner is heard; return what it replied."""
+        self._jobs.add(template.job_id)
+        while (tie := self._choose()) is None:
+            await asyncio.sleep(_OWNER_CHECK_S)
+        return await tie.submit(self._batch(tie, template, began_ms, ends), orders)
+
+    async def give_up(self, job_id: str) -> bool:
+        """Want nothing more of a job; return whether any run of it may have started."""
+        self._jobs.discard(job_id)
+        told = [tie.cancel(job_id) for tie in self._ties.values() if tie.batches_of(job_id)]
+        return any(await asyncio.gather(*told))
 
     def forget(self, job_id: str) -> None:
-        """Want nothing more of a job; what still runs of it is stopped."""
-        batches = self._batches.pop(job_id, [])
-        if any(batch.orders for batch in batches):
-            self._spawn(self._cancel(job_id))
-
-    def _resume(self, old_right_ms: float) -> None:
-        """Hand everything open to a new owner, which looks whether it runs already."""
-        for batches in self._batches.values():
-            for batch in batches:
-                orders = [order._replace(is_resumed=True) for order in batch.orders]
-                if not orders:
-                    continue
-                batch.add(orders)
-                self._spawn(self._send_again(batch, orders, old_right_ms))
-
-    async def _send_again(self, batch: Batch, orders: list[RunOrder], right_ms: float) -> None:
-        reply = await self._send(batch, orders, right_ms)
-        PLACE_LOG.info(
-            "Job {}: {} runs handed to owner {}: {}.",
-            batch.template.job_id,
-            len(orders),
-            self._owner.node,
-            reply.status.name,
-        )
-
-    async def _send(self, batch: Batch, orders: list[RunOrder], old_right_ms: float) -> SubmitReply:
-        """Send until an owner answers for it; one of a newer owner ends an older one's."""
-        sent_to = 0
-        right_end_ms = monotonic_ms() + old_right_ms
-        while True:
-            await self._has_owner.wait()
-            owner = self._owner
-            if sent_to and owner.token != sent_to:
-                # The new owner was handed everything open already.
-                return SubmitReply(SubmitStatus.TAKEN)
-            still_open = [order for order in orders if batch.is_open(order)]
-            if not still_open:
-                return SubmitReply(SubmitStatus.TAKEN)
-            sent_to = owner.token
-            left_ms = max(0.0, right_end_ms - monotonic_ms())
-            message = batch.message(owner.token, still_open, left_ms)
-            try:
-                reply: SubmitReply = await self._network.ask(owner.node, message, _ASK_TIMEOUT_MS)
-            except PeerUnreachableError:
-                continue
-            if reply.status is not SubmitStatus.NOT_OWNER:
-                return reply
-            await asyncio.sleep(_NOT_OWNER_PAUSE_S)
-
-    async def _cancel(self, job_id: str) -> None:
-        for _ in range(_CANCEL_TRIES):
-            try:
-                await self._network.ask(self._owner.node, CancelJob(job_id), _ASK_TIMEOUT_MS)
-                return
-            except PeerUnreachableError:
-                continue
+        """Want nothing more of a job, and wait for nobody."""
+        self._jobs.discard(job_id)
+        if any(tie.batches_of(job_id) for tie in self._ties.values()):
+            self._spawn(self.give_up(job_id))
+
+    def _choose(self) -> OwnerTie | None:
+        """Return the own zone's owner while it is heard, else the one with the most room."""
+        lost_ms = self._timings.owner_silent_ms
+        if self._home.silent_ms < lost_ms and self._home.load.total_milli:
+            return self._home
+        heard = [tie for tie in self._ties.values() if tie.silent_ms < lost_ms]
+        return max(heard, key=lambda tie: (tie.load.free_milli, tie.load.total_milli), default=None)
+
+    def _batch(
+        self,
+        tie: OwnerTie,
+        template: SubmitRuns,
+        began_ms: float,
+        ends: asyncio.Queue[RunEnd],
+    ) -> Batch:
+        for batch in tie.batches_of(template.job_id):
+            if batch.template == template:
+                return batch
+        return Batch(template, ends, began_ms)
 
     def _on_ends(self, _sender: str, message: RunsEnded) -> EndsNoted:
+        tie = self._ties.get(message.zone)
         for end in message.ends:
-            for batch in self._batches.get(end.run_id.task.job_id, ()):
-                if batch.close(end):
-                    batch.ends.put_nowait(end)
-                    break
+            if tie is not None:
+                self._take_end(tie, end)
         return EndsNoted()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _take_end(self, tie: OwnerTie, end: RunEnd) -> None:
+        for batch in tie.batches_of(end.run_id.task.job_id):
+            order = batch.close(end)
+            if order is None:
+                continue
+            if end.cause is EndCause.MOVED:
+                self._spawn(self._move(batch, order, end.moved_to))
+            else:
+                batch.ends.put_nowait(end)
+            return
+
+    async def _move(self, batch: Batch, order: RunOrder, zone: str) -> None:
+        """Hand a run that its owner gave up to another zone's owner."""
+        moved = order._replace(is_moved=True, is_resumed=False)
+        tie = self._ties.get(zone)
+        if tie is None or tie.silent_ms >= self._timings.owner_silent_ms:
+            tie = None
+        while tie is None and batch.template.job_id in self._jobs:
+            tie = self._choose()
+            await asyncio.sleep(_OWNER_CHECK_S)
+        if tie is None or batch.template.job_id not in self._jobs:
+            return
+        PLACE_LOG.info("Job {}: run {} moves to zone {}.", batch.template.job_id, order, tie.zone)
+        target = self._batch(tie, batch.template, batch.began_ms, batch.ends)
+        await tie.submit(target, [moved])
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/foldloom/owners/election.py
+++ b/src/foldloom/owners/election.py
@@ -15,6 +15,7 @@
 _TICK_MS = 100
 _NODE_BITS = 18
 _RANK_STEP_MS = 80.0
+_FIRST_PATIENCE_MS = 120.0
 
 
 class Witnesses(NamedTuple):
@@ -39,9 +40,12 @@
     return sorted(candidates).index(node) if node in candidates else len(candidates)
 
 
-def patience_ms(silent_ms: float, rank: int) -> float:
-    """Return for how long an owner must be silent before the candidate at *rank* acts."""
-    return silent_ms + rank * _RANK_STEP_MS
+def patience_ms(silent_ms: float, rank: int, has_heard: bool) -> float:
+    """Return for how long an owner must be silent before the candidate at *rank* acts.
+
+    One that never heard an owner has nothing to wait for: those whom it asks would tell it.
+    """
+    return (silent_ms if has_heard else _FIRST_PATIENCE_MS) + rank * _RANK_STEP_MS
 
 
 def may_claim(witnesses: Witnesses, silent_ms: float) -> bool:
--- a/src/foldloom/owners/elector.py
+++ b/src/foldloom/owners/elector.py
@@ -31,9 +31,12 @@
 from foldloom.owners.messages import (
     CancelJob,
     Cancelled,
+    ClaimReply,
+    ClaimRuns,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
+    WaitingGroups,
 )
 from foldloom.owners.zone_owner import ZoneOwner
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
@@ -83,6 +86,8 @@
         network.on(Echo, self._on_echo)
         network.on(SubmitRuns, self._on_submit)
         network.on(CancelJob, self._on_cancel)
+        network.on(WaitingGroups, self._on_waiting)
+        network.on(ClaimRuns, self._on_claim)
 
     @property
     def owner(self) -> ZoneOwner | None:
@@ -158,7 +163,9 @@
             if node == self._view.own.node or not self._view.is_leaving(node)
         ]
         rank = rank_of(self._view.own.node, candidates)
-        return self.silent_ms >= patience_ms(self._timings.owner_silent_ms, rank)
+        return self.silent_ms >= patience_ms(
+            self._timings.owner_silent_ms, rank, bool(self._heard.token)
+        )
 
     async def _ask_witnesses(self) -> Witnesses:
         own = self._view.own.node
@@ -201,10 +208,10 @@
         self._owner = None
 
     def _on_owner_beat(self, sender: str, beat: OwnerBeat) -> HigherToken | None:
+        self._view.hear_node(beat.record, monotonic_ms())
         if beat.owner.zone != self._zone:
-            self._view.hear_owner(beat.owner)
+            self._hear_other_zone(beat)
             return None
-        self._view.hear_node(beat.record, monotonic_ms())
         if beat.owner.token < self._heard.token and self._heard.node:
             self._network.tell(sender, HigherToken(self._heard))
             return None
@@ -218,6 +225,14 @@
         self._on_beat(beat)
         return None
 
+    def _hear_other_zone(self, beat: OwnerBeat) -> None:
+        if beat.owner.token < self._view.owner_of(beat.owner.zone).token:
+            return
+        self._view.hear_owner(beat.owner)
+        if self._owner is not None:
+            self._owner.hear_load(beat)
+        self._on_beat(beat)
+
     def _on_query(self, _sender: str, query: OwnerQuery) -> OwnerAnswer:
         if query.zone != self._zone or not self._heard.token:
             return OwnerAnswer(OwnerRecord(query.zone), -1)
@@ -246,9 +261,19 @@
         return self._owner.submit(sender, message)
 
     def _on_cancel(self, sender: str, message: CancelJob) -> Cancelled:
+        if self._owner is None:
+            return Cancelled()
+        return self._owner.cancel(sender, message)
+
+    def _on_waiting(self, _sender: str, message: WaitingGroups) -> None:
+        self._view.hear_owner(message.owner)
         if self._owner is not None:
-            self._owner.cancel(sender, message)
-        return Cancelled()
+            self._owner.hear_waiting(message)
+
+    def _on_claim(self, _sender: str, message: ClaimRuns) -> ClaimReply:
+        if self._owner is None:
+            return ClaimReply(0)
+        return self._owner.release(message)
 
     def _on_echo(self, sender: str, echo: Echo) -> None:
         if self._owner is not None:
--- a/src/foldloom/owners/messages.py
+++ b/src/foldloom/owners/messages.py
@@ -6,8 +6,10 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from foldloom.fleet.messages import OwnerRecord
 from foldloom.jobs.spec import Demand, Placement, RunId
 from foldloom.peers.messages import register
+from foldloom.scheduling.sharing import GroupId, GroupSummary
 
 
 class RunOrder(NamedTuple):
@@ -18,12 +20,30 @@
         number: The task's number in its step.
         run: Counts the task's starts.
         is_resumed: Whether it may have been handed to an earlier owner.
+        is_moved: Whether another zone's owner gave it up for room here.
     """
 
     step: int
     number: int
     run: int
     is_resumed: bool = False
+    is_moved: bool = False
+
+
+class Objective(NamedTuple):
+    """How soon a job should end: stretch x its longest chain + slack, from its arrival.
+
+    Args:
+        elapsed_ms: How long ago it arrived.
+        stretch: Times the longest chain.
+        slack_ms: Added to it.
+        other_ms: How long the chain's other steps take.
+    """
+
+    elapsed_ms: int = 0
+    stretch: float = 1.0
+    slack_ms: int = 0
+    other_ms: int = 0
 
 
 class SubmitRuns(NamedTuple):
@@ -33,14 +53,15 @@
         token: The owner's token.
         job_id: The job.
         repeat: Which time of it.
+        queue: Where the job was handed in.
         service: Whose workers run it.
         spec: What its tasks are told.
         demand: What each task takes.
         placement: Where they may run.
         priority: 0 comes first.
+        tasks: How many tasks the step has in all.
         estimate_ms: A rough guess of how long a task takes.
-        aim_ms: How soon the job should end, from now.
-        late_ms: How soon it still earns something, from now.
+        objective: How soon the job should end.
         deadline_ms: When it is given up, from now.
         old_right_ms: For how much longer an earlier owner may run these.
         orders: The runs.
@@ -49,14 +70,15 @@
     token: int
     job_id: str
     repeat: int
+    queue: str
     service: str
     spec: str
     demand: Demand
     placement: Placement
     priority: int
+    tasks: int
     estimate_ms: int
-    aim_ms: int
-    late_ms: int
+    objective: Objective
     deadline_ms: int
     old_right_ms: int
     orders: list[RunOrder]
@@ -85,19 +107,26 @@
 
 
 class Cancelled(NamedTuple):
-    """The cancel is known."""
+    """The cancel is known; ``has_started`` unless no run of the job ever started here."""
+
+    has_started: bool = True
 
 
 class EndCause(IntEnum):
-    """How a run that an owner was handed ended."""
+    """How a run that an owner was handed ended.
+
+    ``MOVED``: it is on no worker and is to be handed to another zone's owner. ``HOPELESS``: it
+    is on no worker and can't earn anything any more.
+    """
 
     DONE = 0
     FAILED = 1
     STOPPED = 2
     LAPSED = 3
     LOST = 4
-    OLD_RUN = 5
+    MOVED = 5
     REFUSED = 6
+    HOPELESS = 7
 
 
 class RunEnd(NamedTuple):
@@ -109,6 +138,8 @@
         worker: Where it ran; empty if it never started.
         ran_ms: How long it ran, as the owner saw it.
         checkpoint: Where it could go on from.
+        moved_to: With ``MOVED``, the zone.
+        has_started: Whether a run of the task may ever have started here.
     """
 
     run_id: RunId
@@ -116,12 +147,14 @@
     worker: str = ""
     ran_ms: int = 0
     checkpoint: str = ""
+    moved_to: str = ""
+    has_started: bool = True
 
 
 class RunsEnded(NamedTuple):
-    """An owner tells of ends; sent again until it is acknowledged."""
+    """A zone's owner tells of ends; sent again until it is acknowledged."""
 
-    token: int
+    zone: str
     ends: list[RunEnd]
 
 
@@ -129,6 +162,27 @@
     """The ends are known."""
 
 
+class WaitingGroups(NamedTuple):
+    """An owner tells the owners of other zones what waits for room in its own."""
+
+    owner: OwnerRecord
+    groups: list[GroupSummary]
+
+
+class ClaimRuns(NamedTuple):
+    """An owner with free room asks another one for runs that wait."""
+
+    zone: str
+    group: GroupId
+    runs: int
+
+
+class ClaimReply(NamedTuple):
+    """How many runs their node is told to hand to the claiming owner."""
+
+    runs: int
+
+
 for _kind, _type in enumerate(
     (
         SubmitRuns,
@@ -137,6 +191,9 @@
         Cancelled,
         RunsEnded,
         EndsNoted,
+        WaitingGroups,
+        ClaimRuns,
+        ClaimReply,
     ),
     start=100,
 ):
--- a/src/foldloom/owners/sessions.py
+++ b/src/foldloom/owners/sessions.py
@@ -26,14 +26,14 @@
 
     Args:
         holder: The node's life.
-        token: The owner's token.
+        zone: The owner's zone.
         network: The peers.
     """
 
-    def __init__(self, holder: HolderId, token: int, network: PeerNetwork) -> None:
+    def __init__(self, holder: HolderId, zone: str, network: PeerNetwork) -> None:
         self.holder = holder
         self.right_until_ms = 0.0
-        self._token = token
+        self._zone = zone
         self._network = network
         self._untold: list[RunEnd] = []
         self._has_untold = asyncio.Event()
@@ -49,7 +49,7 @@
             await self._has_untold.wait()
             ends = self._untold[:_ENDS_AT_ONCE]
             try:
-                message = RunsEnded(self._token, ends)
+                message = RunsEnded(self._zone, ends)
                 await self._network.ask(self.holder.node, message, _ACK_TIMEOUT_MS)
             except PeerUnreachableError:
                 continue
@@ -69,13 +69,13 @@
     """All sessions of one owner.
 
     Args:
-        token: The owner's token.
+        zone: The owner's zone.
         network: The peers.
         session_ms: How long an echo grants the right.
     """
 
-    def __init__(self, token: int, network: PeerNetwork, session_ms: float) -> None:
-        self._token = token
+    def __init__(self, zone: str, network: PeerNetwork, session_ms: float) -> None:
+        self._zone = zone
         self._network = network
         self._session_ms = session_ms
         self._sessions: dict[HolderId, Session] = {}
@@ -90,7 +90,7 @@
         """Take an echo of the beat sent at *beat_ms*, own clock."""
         session = self._sessions.get(holder)
         if session is None:
-            session = Session(holder, self._token, self._network)
+            session = Session(holder, self._zone, self._network)
             self._sessions[holder] = session
             self._tasks[holder] = asyncio.create_task(session.run())
         session.right_until_ms = max(session.right_until_ms, beat_ms + self._session_ms)
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -10,6 +10,7 @@
 
 from typing import NamedTuple
 
+from foldloom.fleet.messages import ZoneLoad
 from foldloom.jobs.spec import RunId, TaskId
 from foldloom.owners.messages import (
     EndCause,
@@ -19,8 +20,19 @@
     SubmitRuns,
     SubmitStatus,
 )
-from foldloom.scheduling.placing import place
+from foldloom.scheduling.admission import Room as WorkerRoom
+from foldloom.scheduling.admission import expected_wait_ms, is_too_late, retry_after_ms
+from foldloom.scheduling.estimates import Estimates
+from foldloom.scheduling.placing import Reservation, place
+from foldloom.scheduling.policies import DEFAULT_POLICY, HOPELESS, Policy, tier_of
 from foldloom.scheduling.runs import HolderId, Run, RunSpec, RunState, TraceBound
+from foldloom.scheduling.sharing import (
+    VIEW_KEPT_MS,
+    GroupId,
+    GroupSummary,
+    RemoteGroups,
+    group_of,
+)
 from foldloom.scheduling.speeds import WorkerSpeeds
 from foldloom.scheduling.waiting import WaitingRuns
 from foldloom.scheduling.workers import Candidate, ForeignRun
@@ -28,6 +40,12 @@
 from foldloom.workers.records import WorkerRecord
 
 _FOREIGN_GRACE_MS = 300.0
+_CANCEL_REMEMBERED_MS = 500.0
+_TOLD_GROUPS = 24
+_WARM_UP_MS = 500.0
+_OVERDUE_FACTOR = 2.0
+_STUCK_FACTOR = 3.0
+_STUCK_MIN_MS = 40.0
 _NUMBERS_KEPT_MS = 6_000.0
 _NO_ROOM_PAUSE_MS = 30.0
 _UNHEALTHY_PAUSE_MS = 300.0
@@ -57,6 +75,14 @@
     worker: str
 
 
+class ClaimAction(NamedTuple):
+    """Ask the owner of *zone* for runs of *group*, for which room is reserved."""
+
+    zone: str
+    group: GroupId
+    reservations: list[Reservation]
+
+
 class EndAction(NamedTuple):
     """Tell *holder* of *end*."""
 
@@ -64,6 +90,13 @@
     end: RunEnd
 
 
+class _HeardLoad(NamedTuple):
+    """How loaded another zone is, and when that was heard."""
+
+    load: ZoneLoad
+    heard_ms: float
+
+
 class _Past(NamedTuple):
     """The last run of a task, when it ended, and how if a later owner should tell."""
 
@@ -72,14 +105,35 @@
     end: RunEnd | None
 
 
+def _spec_of(message: SubmitRuns, now_ms: float) -> RunSpec:
+    objective = message.objective
+    return RunSpec(
+        job_id=message.job_id,
+        queue=message.queue,
+        service=message.service,
+        text=message.spec,
+        demand=message.demand,
+        placement=message.placement,
+        priority=message.priority,
+        estimate_ms=message.estimate_ms,
+        began_ms=now_ms - objective.elapsed_ms,
+        stretch=objective.stretch,
+        slack_ms=objective.slack_ms,
+        other_ms=objective.other_ms,
+        tasks=message.tasks,
+        deadline_ms=now_ms + message.deadline_ms,
+    )
+
+
 class OwnerState:
     """The runs of one zone's workers.
 
     Args:
         gone_after_ms: How long after an owner lost the right to a run it may still be there.
+        policy: In which order what waits is served.
     """
 
-    def __init__(self, gone_after_ms: float) -> None:
+    def __init__(self, gone_after_ms: float, policy: Policy = DEFAULT_POLICY) -> None:
         self._gone_after_ms = gone_after_ms
         self._knows_all_workers = False
         self._runs: dict[TaskId, Run] = {}
@@ -87,11 +141,19 @@
         self._past: dict[TaskId, _Past] = {}
         self._candidates: dict[str, Candidate] = {}
         self._looked_ms: dict[str, float] = {}
-        self._waiting = WaitingRuns()
+        self._policy = policy
+        self._estimates = Estimates()
+        self._waiting = WaitingRuns(self._estimates)
         self._speeds = WorkerSpeeds()
         self._starts: list[StartAction] = []
         self._stops: list[StopAction] = []
+        self._claims: list[ClaimAction] = []
         self._ends: list[EndAction] = []
+        self._first_ms = 0.0
+        self._remote = RemoteGroups()
+        self._loads: dict[str, _HeardLoad] = {}
+        self._reservations: dict[GroupId, list[Reservation]] = {}
+        self._cancelled: dict[tuple[HolderId, str], float] = {}
 
     @property
     def candidates(self) -> dict[str, Candidate]:
@@ -122,6 +184,11 @@
         taken, self._stops = self._stops, []
         return taken
 
+    def take_claims(self) -> list[ClaimAction]:
+        """Return and clear what is to be claimed in other zones."""
+        taken, self._claims = self._claims, []
+        return taken
+
     def take_ends(self) -> list[EndAction]:
         """Return and clear who is to be told of which end."""
         taken, self._ends = self._ends, []
@@ -131,31 +198,28 @@
 
     def submit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
         """Take the runs of *message*; those that are known already are attached to."""
-        spec = RunSpec(
-            job_id=message.job_id,
-            service=message.service,
-            text=message.spec,
-            demand=message.demand,
-            placement=message.placement,
-            priority=message.priority,
-            estimate_ms=message.estimate_ms,
-            aim_ms=now_ms + message.aim_ms,
-            late_ms=now_ms + message.late_ms,
-            deadline_ms=now_ms + message.deadline_ms,
-        )
+        spec = _spec_of(message, now_ms)
         bound = TraceBound(
             now_ms + message.old_right_ms,
             now_ms + message.old_right_ms + self._gone_after_ms,
         )
+        if self._is_late_submit(holder, message.job_id, now_ms):
+            return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         for order in message.orders:
             task = TaskId(message.job_id, message.repeat, order.step, order.number)
+            self._use_reservation(group_of(task))
             self._take(holder, task, spec, order, bound, now_ms)
-        return SubmitReply(SubmitStatus.TAKEN)
+        return self._admit(holder, message, now_ms)
 
-    def cancel(self, holder: HolderId, job_id: str, now_ms: float) -> None:
-        """Drop what *holder* wants of a job."""
+    def cancel(self, holder: HolderId, job_id: str, now_ms: float) -> bool:
+        """Drop what *holder* wants of a job; return whether any run of it may have started."""
+        self._cancelled[holder, job_id] = now_ms
+        has_started = any(task.job_id == job_id for task in self._past)
         for task in list(self._tasks_of_job.get(job_id, ())):
+            run = self._runs[task]
+            has_started = has_started or run.was_ordered or run.state is not RunState.QUEUED
             self._let_go(holder, task, now_ms)
+        return has_started
 
     def end_session(self, holder: HolderId, ended_ms: float) -> None:
         """Drop everything that *holder* wants: since *ended_ms* it has no right to run."""
@@ -163,6 +227,39 @@
             if holder in run.holders:
                 self._let_go(holder, task, ended_ms)
 
+    # Other zones.
+
+    def hear_waiting(self, zone: str, groups: list[GroupSummary], now_ms: float) -> None:
+        """Take what another zone's owner tells of its queue."""
+        self._remote.hear(zone, groups, now_ms)
+
+    def hear_load(self, zone: str, load: ZoneLoad, now_ms: float) -> None:
+        """Take how much room there is in another zone, where runs may be moved to."""
+        self._loads[zone] = _HeardLoad(load, now_ms)
+
+    def tell_waiting(self, now_ms: float) -> list[GroupSummary]:
+        """Return what the owners of other zones should know of this queue."""
+        return self._waiting.summaries(self._policy, now_ms, _TOLD_GROUPS)
+
+    def release(self, key: GroupId, runs: int, zone: str) -> int:
+        """Give up to *runs* of a group to another zone's owner; return how many."""
+        group = self._waiting.get(key)
+        if group is None:
+            return 0
+        # The last ones first: the first ones are the next to start here.
+        leaving = list(group.waiting.values())[-runs:]
+        for run in leaving:
+            end = RunEnd(run.run_id, EndCause.MOVED, moved_to=zone, has_started=run.was_ordered)
+            self._ends.extend(EndAction(holder, end) for holder in run.holders)
+            self._forget(run)
+        return len(leaving)
+
+    def note_claimed(self, claim: ClaimAction, granted: int) -> None:
+        """Keep room for as many runs as were granted, and give the rest back."""
+        self._reservations.setdefault(claim.group, []).extend(claim.reservations[:granted])
+        for reservation in claim.reservations[granted:]:
+            self._unreserve(reservation)
+
     # Workers.
 
     def trust_catalog(self) -> None:
@@ -279,6 +376,13 @@
         """Do what time alone brings: lost traces, strangers to stop, old numbers to forget."""
         self._end_traces(now_ms)
         self._stop_foreign(now_ms)
+        self._drop_hopeless(now_ms)
+        self._judge_running(now_ms)
+        for candidate in self._candidates.values():
+            candidate.room.unreserve_expired(now_ms)
+        for key, cancelled_ms in list(self._cancelled.items()):
+            if now_ms - cancelled_ms >= _CANCEL_REMEMBERED_MS:
+                del self._cancelled[key]
         while self._past:
             task = next(iter(self._past))
             if now_ms - self._past[task].ended_ms < _NUMBERS_KEPT_MS:
@@ -286,12 +390,102 @@
             del self._past[task]
 
     def place(self, now_ms: float) -> None:
-        """Start what there is room for."""
-        if not len(self._waiting):
-            return
-        for run, worker in place(self._waiting, self._candidates, self._speeds, now_ms):
+        """Start what there is room for, and claim what waits elsewhere for the rest."""
+        placing = place(
+            self._policy, self._waiting, self._remote, self._candidates, self._speeds, now_ms
+        )
+        for run, worker in placing.placed:
             run.enter(RunState.STARTING, now_ms, worker)
             self._starts.append(StartAction(run.run_id, worker, run.spec.text))
+        self._claims.extend(ClaimAction(*claimed) for claimed in placing.claimed)
+
+    def _is_late_submit(self, holder: HolderId, job_id: str, now_ms: float) -> bool:
+        """Return whether the node has cancelled this job since it sent this message."""
+        cancelled_ms = self._cancelled.get((holder, job_id))
+        return cancelled_ms is not None and now_ms - cancelled_ms < _CANCEL_REMEMBERED_MS
+
+    def _admit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
+        """Refuse a job at once that would have to wait for too long, else take it."""
+        taken = SubmitReply(SubmitStatus.TAKEN)
+        if any(order.is_resumed or order.is_moved or order.run > 1 for order in message.orders):
+            return taken
+        if self._is_warming_up(now_ms):
+            return taken
+        order = message.orders[0]
+        if order.step:
+            return taken
+        group = self._waiting.get(GroupId(message.job_id, message.repeat, order.step))
+        if group is None or len(group.waiting) < len(message.orders):
+            return taken
+        wait_ms = expected_wait_ms(
+            group,
+            self._waiting.groups,
+            self._remote.claimable(now_ms),
+            self._room(now_ms),
+            self._policy,
+            now_ms,
+        )
+        if not is_too_late(group, wait_ms, now_ms):
+            return taken
+        self.cancel(holder, message.job_id, now_ms)
+        return SubmitReply(SubmitStatus.REFUSED, "overload", retry_after_ms(wait_ms))
+
+    def _is_warming_up(self, now_ms: float) -> bool:
+        """Return whether workers may not have been looked at yet: room is not known then."""
+        if not self._first_ms:
+            self._first_ms = now_ms
+        return now_ms - self._first_ms < _WARM_UP_MS
+
+    def _room(self, now_ms: float) -> WorkerRoom:
+        """Return the room of this zone and of those that were heard lately."""
+        in_use = [one.room for one in self._candidates.values() if one.is_open(now_ms)]
+        loads = [
+            heard.load for heard in self._loads.values() if now_ms - heard.heard_ms < VIEW_KEPT_MS
+        ]
+        total = sum(room.capacity.cpu_milli for room in in_use)
+        free = sum(max(0, room.free.cpu_milli) for room in in_use)
+        return WorkerRoom(
+            total + sum(load.total_milli for load in loads),
+            free + sum(load.free_milli for load in loads),
+        )
+
+    def _use_reservation(self, key: GroupId) -> None:
+        """Give back the room that was kept for a run which has come."""
+        reservations = self._reservations.get(key)
+        if not reservations:
+            return
+        self._unreserve(reservations.pop())
+        if not reservations:
+            del self._reservations[key]
+
+    def _unreserve(self, reservation: Reservation) -> None:
+        candidate = self._candidates.get(reservation.worker)
+        if candidate is not None:
+            candidate.room.unreserve(reservation.number)
+
+    def _drop_hopeless(self, now_ms: float) -> None:
+        """Let go of what waits and can't earn anything any more, and say so at once."""
+        for group in self._waiting.groups:
+            if tier_of(group, now_ms) != HOPELESS:
+                continue
+            for run in list(group.waiting.values()):
+                end = RunEnd(run.run_id, EndCause.HOPELESS, has_started=run.was_ordered)
+                self._ends.extend(EndAction(holder, end) for holder in run.holders)
+                self._forget(run)
+
+    def _judge_running(self, now_ms: float) -> None:
+        """Learn from runs that take too long, and start those elsewhere that stand still."""
+        for run in list(self._runs.values()):
+            if run.state is not RunState.RUNNING or not run.began_ms:
+                continue
+            group = self._waiting.group(run)
+            ran_ms = now_ms - run.began_ms
+            if ran_ms <= _OVERDUE_FACTOR * group.expected_ms:
+                continue
+            self._speeds.note_overdue(run.worker, ran_ms, group.expected_ms)
+            is_stuck = ran_ms > _STUCK_FACTOR * group.longest_ms + _STUCK_MIN_MS
+            if is_stuck and now_ms < group.late_start_by():
+                self._stop(run, now_ms)
 
     def _take(
         self,
@@ -461,8 +655,8 @@
         worker = run.worker
         ran_ms = int(now_ms - run.began_ms) if run.began_ms else 0
         was_stopping = run.state is RunState.STOPPING
-        if cause is EndCause.DONE and not was_stopping:
-            self._speeds.note(worker, ran_ms, run.spec.estimate_ms)
+        if cause is EndCause.DONE and not was_stopping and ran_ms:
+            self._learn(run, ran_ms)
         self._release(run)
         if was_stopping and run.holders and cause is not EndCause.DONE:
             run.number += 1
@@ -476,6 +670,14 @@
         self._past.pop(run.task, None)
         self._past[run.task] = _Past(run.number, now_ms, None)
 
+    def _learn(self, run: Run, ran_ms: float) -> None:
+        """Learn from a run that is done, about its worker, its job and its queue."""
+        group = self._waiting.group(run)
+        self._speeds.note(run.worker, ran_ms, group.expected_ms)
+        work_ms = ran_ms * self._speeds.speed_of(run.worker)
+        group.note_done(work_ms)
+        self._estimates.note(run.spec.queue, run.spec.estimate_ms, work_ms)
+
     def _release(self, run: Run) -> None:
         candidate = self._candidates.get(run.worker)
         if candidate is not None:
@@ -488,6 +690,8 @@
         if tasks is None:
             return
         tasks.discard(run.task)
+        key = group_of(run.task)
+        if not any(group_of(task) == key for task in tasks):
+            self._waiting.forget(key)
         if not tasks:
             del self._tasks_of_job[run.task.job_id]
-            self._waiting.forget_job(run.task.job_id)
--- /dev/null
+++ b/src/foldloom/owners/tie.py
@@ -0,0 +1,172 @@
+# SPDX-License-Identifier: MIT
+"""An entry node's tie to the owner of one zone: grants, runs handed in, a new owner."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.messages import Echo, OwnerBeat, OwnerRecord, ZoneLoad
+from foldloom.fleet.view import FleetView
+from foldloom.logs import PLACE_LOG
+from foldloom.owners.batches import Batch
+from foldloom.owners.lease import gone_after_ms
+from foldloom.owners.messages import (
+    CancelJob,
+    Cancelled,
+    RunOrder,
+    SubmitReply,
+    SubmitStatus,
+)
+from foldloom.peers.wire import PeerNetwork, monotonic_ms
+from foldloom.settings import TimingSettings
+
+_ASK_TIMEOUT_MS = 150
+_NOT_OWNER_PAUSE_S = 0.02
+_CANCEL_TRIES = 2
+
+
+class OwnerTie:
+    """The tie to one zone's owner, whoever that is at the time.
+
+    Args:
+        zone: The zone.
+        view: The other nodes.
+        network: The peers.
+        timings: Intervals and bounds.
+    """
+
+    def __init__(
+        self, zone: str, view: FleetView, network: PeerNetwork, timings: TimingSettings
+    ) -> None:
+        self.zone = zone
+        self.load = ZoneLoad()
+        self._view = view
+        self._network = network
+        self._session_ms = float(timings.session_ms)
+        self._gone_after_ms = gone_after_ms(timings.worker_lease_ms)
+        self._owner = OwnerRecord(zone)
+        self._echoed_ms = -1e12
+        self._beaten_ms = -1e12
+        self._batches: dict[str, list[Batch]] = {}
+        self._has_owner = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def owner(self) -> OwnerRecord:
+        """The owner that runs are handed to."""
+        return self._owner
+
+    @property
+    def silent_ms(self) -> float:
+        """How long ago the owner was heard."""
+        return monotonic_ms() - self._beaten_ms
+
+    def hear_beat(self, beat: OwnerBeat, published_version: int) -> None:
+        """Grant the owner its right; hand everything open to a new one."""
+        if beat.owner.token < self._owner.token:
+            return
+        is_new = beat.owner.token != self._owner.token
+        old_right_ms = max(0.0, self._echoed_ms + self._session_ms - monotonic_ms())
+        self._owner = beat.owner
+        self._beaten_ms = monotonic_ms()
+        self.load = beat.load
+        echo = Echo(beat.owner.token, beat.sent_ms, self._view.own, published_version)
+        self._network.tell(beat.owner.node, echo)
+        self._echoed_ms = monotonic_ms()
+        self._has_owner.set()
+        if is_new:
+            self._resume(old_right_ms)
+
+    def batches_of(self, job_id: str) -> list[Batch]:
+        """Return what is open of a job in this zone."""
+        return self._batches.get(job_id, [])
+
+    def take_lost(self) -> list[tuple[Batch, RunOrder]]:
+        """Return and drop the runs that have ended for certain since their owner fell silent."""
+        lost: list[tuple[Batch, RunOrder]] = []
+        if monotonic_ms() < self._echoed_ms + self._session_ms + self._gone_after_ms:
+            return lost
+        for batches in list(self._batches.values()):
+            for batch in batches:
+                lost.extend((batch, order) for order in batch.orders)
+        self._batches.clear()
+        return lost
+
+    async def submit(self, batch: Batch, orders: list[RunOrder]) -> SubmitReply:
+        """Hand *orders* in; return once the owner has taken or refused them."""
+        batch.add(orders)
+        batches = self._batches.setdefault(batch.template.job_id, [])
+        if batch not in batches:
+            batches.append(batch)
+        return await self._send(batch, orders, 0.0)
+
+    async def cancel(self, job_id: str) -> bool:
+        """Want nothing more of a job here; return whether any run of it may have started."""
+        batches = self._batches.pop(job_id, [])
+        has_started = any(batch.has_started for batch in batches)
+        has_open = any(batch.orders for batch in batches)
+        for batch in batches:
+            batch.clear()
+        if not has_open:
+            return has_started
+        for _ in range(_CANCEL_TRIES):
+            try:
+                reply: Cancelled = await self._network.ask(
+                    self._owner.node, CancelJob(job_id), _ASK_TIMEOUT_MS
+                )
+                return has_started or reply.has_started
+            except PeerUnreachableError:
+                continue
+        return True
+
+    def _resume(self, old_right_ms: float) -> None:
+        """Hand everything open to a new owner, which looks whether it runs already."""
+        for batches in self._batches.values():
+            for batch in batches:
+                orders = [order._replace(is_resumed=True) for order in batch.orders]
+                if not orders:
+                    continue
+                batch.add(orders)
+                self._spawn(self._send_again(batch, orders, old_right_ms))
+
+    async def _send_again(self, batch: Batch, orders: list[RunOrder], right_ms: float) -> None:
+        reply = await self._send(batch, orders, right_ms)
+        PLACE_LOG.info(
+            "Job {}: {} runs handed to owner {}: {}.",
+            batch.template.job_id,
+            len(orders),
+            self._owner.node,
+            reply.status.name,
+        )
+
+    async def _send(self, batch: Batch, orders: list[RunOrder], old_right_ms: float) -> SubmitReply:
+        """Send until an owner answers for it; one of a newer owner ends an older one's."""
+        sent_to = 0
+        right_end_ms = monotonic_ms() + old_right_ms
+        while True:
+            await self._has_owner.wait()
+            owner = self._owner
+            if sent_to and owner.token != sent_to:
+                # The new owner was handed everything open already.
+                return SubmitReply(SubmitStatus.TAKEN)
+            still_open = [order for order in orders if batch.is_open(order)]
+            if not still_open:
+                return SubmitReply(SubmitStatus.TAKEN)
+            sent_to = owner.token
+            left_ms = max(0.0, right_end_ms - monotonic_ms())
+            message = batch.message(owner.token, still_open, left_ms)
+            try:
+                reply: SubmitReply = await self._network.ask(owner.node, message, _ASK_TIMEOUT_MS)
+            except PeerUnreachableError:
+                continue
+            if reply.status is not SubmitStatus.NOT_OWNER:
+                return reply
+            await asyncio.sleep(_NOT_OWNER_PAUSE_S)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/foldloom/owners/worker_link.py
+++ b/src/foldloom/owners/worker_link.py
@@ -18,6 +18,7 @@
 _LOOK_MS = 200
 _RETRY_S = 0.05
 _RETRY_MAX_S = 0.4
+SUSPECT_AFTER_MS = 80
 
 
 class WorkerLink:
@@ -67,7 +68,7 @@
             sent_ms = monotonic_ms()
             order = self._next_order(sent_ms)
             is_first = not self.clock.is_known
-            reply = await self._owner.calls.hold(self.record, order)
+            reply = await self._look(order)
             if reply.outcome is CallOutcome.DONE:
                 pause_s = _RETRY_S
                 self._take(reply, sent_ms)
@@ -84,6 +85,16 @@
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, _RETRY_MAX_S)
 
+    async def _look(self, order: HoldOrder) -> HoldReply:
+        """Look once; an answer that is late already costs the worker its trust."""
+        doubt = asyncio.get_running_loop().call_later(
+            (order.wait_ms + SUSPECT_AFTER_MS) / 1_000, self._owner.note_silent, self.record.worker
+        )
+        try:
+            return await self._owner.calls.hold(self.record, order)
+        finally:
+            doubt.cancel()
+
     def _next_order(self, now_ms: float) -> HoldOrder:
         renews = self.clock.is_known and self._owner.may_renew(self.record.worker, now_ms)
         until_ms = self.order_until(now_ms) if renews else 0
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from foldloom.exceptions import PeerUnreachableError
 from foldloom.fleet.messages import Echo, OwnerBeat, OwnerRecord, ZoneLoad
 from foldloom.fleet.view import FleetView
 from foldloom.logs import PLACE_LOG, WORKER_LOG
@@ -14,13 +15,17 @@
 from foldloom.owners.lease import STOP_OVERDUE_MS, gone_after_ms, longest_real_ms
 from foldloom.owners.messages import (
     CancelJob,
+    Cancelled,
+    ClaimReply,
+    ClaimRuns,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
+    WaitingGroups,
 )
 from foldloom.owners.sessions import Sessions
-from foldloom.owners.state import OwnerState, StartAction, StopAction
-from foldloom.owners.worker_link import WorkerLink
+from foldloom.owners.state import ClaimAction, OwnerState, StartAction, StopAction
+from foldloom.owners.worker_link import SUSPECT_AFTER_MS, WorkerLink
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.scheduling.runs import HolderId
 from foldloom.settings import TimingSettings
@@ -38,6 +43,10 @@
 _STOP_REPEAT_MS = 100.0
 _FORGET_SILENT_MS = 15_000.0
 _CATALOG_TRUSTED_MS = 3_000.0
+_CLAIM_TIMEOUT_MS = 30
+_SHARE_TTL_MS = 100
+_BEAT_ALL_MAX = 64
+_SHARE_PAUSE_S = 0.003
 
 
 class ZoneOwner:
@@ -82,11 +91,12 @@
         self._on_fenced = on_fenced
         self._catalog_age_ms = catalog_age_ms
         self._state = OwnerState(gone_after_ms(timings.worker_lease_ms))
-        self._sessions = Sessions(record.token, network, timings.session_ms)
+        self._sessions = Sessions(record.zone, network, timings.session_ms)
         self._links: dict[str, WorkerLink] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_closed = False
+        self._has_waiting = asyncio.Event()
 
     @property
     def token(self) -> int:
@@ -118,6 +128,7 @@
         """Look at every worker and begin to beat."""
         self._spawn(self._beat())
         self._spawn(self._tick())
+        self._spawn(self._share())
 
     def close(self) -> None:
         """End all tasks; whoever owns the zone next adopts what runs."""
@@ -138,11 +149,31 @@
         self._act()
         return reply
 
-    def cancel(self, sender: str, message: CancelJob) -> None:
+    def cancel(self, sender: str, message: CancelJob) -> Cancelled:
         """Drop what *sender* wants of a job."""
         holder = HolderId(sender, self._network.known_incarnation(sender))
-        self._state.cancel(holder, message.job_id, monotonic_ms())
+        has_started = self._state.cancel(holder, message.job_id, monotonic_ms())
         self._act()
+        return Cancelled(has_started)
+
+    def hear_waiting(self, message: WaitingGroups) -> None:
+        """Take what waits in another zone; there may be room for it here."""
+        if self._is_closed or message.owner.zone == self._record.zone:
+            return
+        self._state.hear_waiting(message.owner.zone, message.groups, monotonic_ms())
+        self._act()
+
+    def hear_load(self, beat: OwnerBeat) -> None:
+        """Take how loaded another zone is."""
+        self._state.hear_load(beat.owner.zone, beat.load, monotonic_ms())
+
+    def release(self, message: ClaimRuns) -> ClaimReply:
+        """Give waiting runs to another zone's owner."""
+        if self._is_closed:
+            return ClaimReply(0)
+        released = self._state.release(message.group, message.runs, message.zone)
+        self._act()
+        return ClaimReply(released)
 
     def hear_echo(self, sender: str, echo: Echo) -> None:
         """Take a node's grant."""
@@ -203,9 +234,30 @@
                 self._network.tell(node, beat, self._timings.owner_silent_ms)
             await asyncio.sleep(self._timings.owner_beat_ms / 1_000)
 
+    async def _share(self) -> None:
+        """Tell the owners of other zones what waits here, soon after it changes."""
+        has_told = False
+        while True:
+            await self._has_waiting.wait()
+            self._has_waiting.clear()
+            groups = self._state.tell_waiting(monotonic_ms())
+            if groups or has_told:
+                message = WaitingGroups(self._record, groups)
+                for node in self._other_owners():
+                    self._network.tell(node, message, _SHARE_TTL_MS)
+            has_told = bool(groups)
+            await asyncio.sleep(_SHARE_PAUSE_S)
+
+    def _other_owners(self) -> list[str]:
+        owners = [self._view.owner_of(zone) for zone in self._view.zones]
+        return [owner.node for owner in owners if owner.zone != self._record.zone]
+
     def _audience(self) -> list[str]:
-        nodes = dict.fromkeys([*self._view.entries_of(self._record.zone), *self._view.controllers])
-        return list(nodes)
+        """Return who hears the beats: all entry nodes, while they are not too many."""
+        entries = self._view.entries
+        if len(entries) > _BEAT_ALL_MAX:
+            entries = self._view.entries_of(self._record.zone)
+        return list(dict.fromkeys([*entries, *self._other_owners(), *self._view.controllers]))
 
     async def _tick(self) -> None:
         while True:
@@ -271,8 +323,24 @@
             self._spawn(self._stop(stop))
         for start in self._state.take_starts():
             self._spawn(self._start(start))
+        for claim in self._state.take_claims():
+            self._spawn(self._claim(claim))
         for action in self._state.take_ends():
             self._sessions.tell(action.holder, action.end)
+        self._has_waiting.set()
+
+    async def _claim(self, claim: ClaimAction) -> None:
+        """Ask another zone's owner for runs that wait there."""
+        owner = self._view.owner_of(claim.zone)
+        message = ClaimRuns(self._record.zone, claim.group, len(claim.reservations))
+        granted = 0
+        try:
+            reply: ClaimReply = await self._network.ask(owner.node, message, _CLAIM_TIMEOUT_MS)
+            granted = reply.runs
+        except PeerUnreachableError:
+            self._metrics.count("claims.unanswered")
+        self._metrics.count("runs.claimed", granted)
+        self._state.note_claimed(claim, granted)
 
     async def _start(self, action: StartAction) -> None:
         link = self._links.get(action.worker)
@@ -291,7 +359,11 @@
         PLACE_LOG.info("Run {} goes to {}.", action.run_id, action.worker)
         self._metrics.count("runs.started")
         order = StartOrder(action.run_id, action.text, self.token, until_ms)
+        doubt = asyncio.get_running_loop().call_later(
+            SUSPECT_AFTER_MS / 1_000, self._state.distrust, action.worker
+        )
         reply = await self.calls.start_run(link.record, order)
+        doubt.cancel()
         now_ms = monotonic_ms()
         if reply.clock_ms:
             link.clock.note(reply.clock_ms, now_ms)
--- /dev/null
+++ b/src/foldloom/scheduling/groups.py
@@ -0,0 +1,91 @@
+# SPDX-License-Identifier: MIT
+"""The runs of one step of one job, and by when they must start."""
+
+from __future__ import annotations
+
+import math
+
+from foldloom.jobs.spec import TaskId
+from foldloom.scheduling.runs import Run, RunSpec
+
+LATE_FACTOR = 3.0
+_UNEVEN_PER_DOUBLING = 0.08
+_ANSWER_MS = 10.0
+_OWN_WEIGHT = 0.7
+
+
+class Group:
+    """A step's runs that wait, and what is known of how long they take.
+
+    Args:
+        spec: What the runs share.
+        expected_ms: How long one task is expected to take on a worker of speed 1.
+    """
+
+    def __init__(self, spec: RunSpec, expected_ms: float) -> None:
+        self.spec = spec
+        self.started = 0
+        self.waiting: dict[TaskId, Run] = {}
+        self._expected_ms = expected_ms
+        self._done_log_sum = 0.0
+        self._done = 0
+
+    @property
+    def expected_ms(self) -> float:
+        """How long a task is expected to take; tasks of the step that are done tell best."""
+        if not self._done:
+            return self._expected_ms
+        own = self._done_log_sum / self._done
+        rest = 1 - _OWN_WEIGHT
+        return math.exp(_OWN_WEIGHT * own + rest * math.log(self._expected_ms))
+
+    @property
+    def longest_ms(self) -> float:
+        """How long the longest of its tasks is expected to take."""
+        return self.expected_ms * (1 + _UNEVEN_PER_DOUBLING * math.log2(max(1, self.spec.tasks)))
+
+    @property
+    def objective_ms(self) -> float:
+        """How soon after its arrival the job should be answered."""
+        chain_ms = self.spec.other_ms + self.longest_ms
+        return self.spec.stretch * chain_ms + self.spec.slack_ms
+
+    @property
+    def on_time_ms(self) -> float:
+        """Until when the job is on time."""
+        return self.spec.began_ms + self.objective_ms
+
+    @property
+    def late_ms(self) -> float:
+        """Until when the job earns anything."""
+        latest_ms = self.spec.began_ms + LATE_FACTOR * self.objective_ms
+        return min(latest_ms, self.spec.deadline_ms)
+
+    @property
+    def waiting_cpu_ms(self) -> float:
+        """How much processor its waiting tasks will take, in core milliseconds."""
+        return len(self.waiting) * self.expected_ms * self.spec.demand.cpu_milli / 1_000
+
+    def slowest(self, tier_ms: float, now_ms: float) -> float:
+        """Return how slow a worker may be for a task that starts now to end by *tier_ms*.
+
+        Args:
+            tier_ms: Until when the job must be answered; own clock.
+            now_ms: The time.
+        """
+        left_ms = tier_ms - _ANSWER_MS - now_ms
+        return self.longest_ms / left_ms if left_ms > 0 else math.inf
+
+    def start_by(self, speed: float = 1.0) -> float:
+        """Return until when a task may start on a worker of *speed* for the job to be on time."""
+        return self.on_time_ms - _ANSWER_MS - self.longest_ms / speed
+
+    def late_start_by(self, speed: float = 1.0) -> float:
+        """Return until when a task may start for the job to earn anything."""
+        return self.late_ms - _ANSWER_MS - self.longest_ms / speed
+
+    def note_done(self, work_ms: float) -> None:
+        """Learn from one of its tasks, which took *work_ms* on a worker of speed 1."""
+        if work_ms > 0:
+            self._done_log_sum += math.log(work_ms)
+            self._done += 1
--- a/src/foldloom/scheduling/placing.py
+++ b/src/foldloom/scheduling/placing.py
@@ -3,15 +3,21 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from foldloom.jobs.spec import Demand, Placement
+from foldloom.scheduling.groups import Group
+from foldloom.scheduling.policies import HOPELESS, Policy, Rank, rank, speed_min
 from foldloom.scheduling.runs import Run
+from foldloom.scheduling.sharing import RESERVED_MS, GroupId, RemoteGroup, RemoteGroups, group_of
 from foldloom.scheduling.speeds import WorkerSpeeds
 from foldloom.scheduling.waiting import WaitingRuns
 from foldloom.scheduling.workers import Candidate
 
+_reservation_numbers = itertools.count(1)
+
 
 class Placed(NamedTuple):
     """A decision: *run* goes to *worker*."""
@@ -20,69 +26,153 @@
     worker: str
 
 
+class Reservation(NamedTuple):
+    """Room that is kept on a worker, under a number."""
+
+    worker: str
+    number: int
+
+
+class Claimed(NamedTuple):
+    """A decision: runs of a group that waits in another zone are claimed for room here."""
+
+    zone: str
+    group: GroupId
+    reservations: list[Reservation]
+
+
+class Placing(NamedTuple):
+    """What one round decided."""
+
+    placed: list[Placed]
+    claimed: list[Claimed]
+
+
 class _Kind(NamedTuple):
-    """Runs that fit where any one of them fits."""
+    """Runs that fit where any one of them fits.
+
+    ``speed_min`` is how fast a worker must be for the job not to fall into a lower tier.
+    """
 
     service: str
     demand: Demand
     placement: Placement
+    speed_min: float = 0.0
+
+
+class _Next(NamedTuple):
+    """A group in the order; the own ones come first where ranks are the same."""
+
+    rank: Rank
+    is_remote: bool
+    number: int
 
 
 def place(
+    policy: Policy,
     waiting: WaitingRuns,
+    remote: RemoteGroups,
     candidates: Mapping[str, Candidate],
     speeds: WorkerSpeeds,
     now_ms: float,
-) -> list[Placed]:
+) -> Placing:
     """Return who starts where now, and charge the room; the runs are taken out of the queue."""
+    result = Placing([], [])
     open_workers = [one for one in candidates.values() if one.is_open(now_ms)]
-    placed: list[Placed] = []
+    if not open_workers:
+        return result
+    own, others = waiting.groups, remote.claimable(now_ms)
+    order = [_Next(rank(policy, group, now_ms), False, n) for n, group in enumerate(own)]
+    order += [_Next(group.rank, True, n) for n, group in enumerate(others)]
     full: set[_Kind] = set()
-    for run in waiting:
-        if not open_workers:
-            break
-        kind = _Kind(run.spec.service, run.spec.demand, run.spec.placement)
-        if kind in full:
-            continue
-        chosen = choose_worker(run, open_workers, speeds)
+    for _, is_remote, number in sorted(order):
+        if is_remote:
+            _claim(others[number], open_workers, speeds, full, now_ms, result.claimed)
+        else:
+            _place_own(own[number], waiting, open_workers, speeds, full, now_ms, result.placed)
+    return result
+
+
+def _place_own(
+    group: Group,
+    waiting: WaitingRuns,
+    open_workers: list[Candidate],
+    speeds: WorkerSpeeds,
+    full: set[_Kind],
+    now_ms: float,
+    placed: list[Placed],
+) -> None:
+    spec = group.spec
+    kind = _Kind(spec.service, spec.demand, spec.placement, speed_min(group, now_ms))
+    if kind in full:
+        return
+    for run in list(group.waiting.values()):
+        chosen = choose_worker(kind, group_of(run.task), open_workers, speeds)
         if chosen is None:
-            if not run.spec.placement.per_worker_max:
+            if not spec.placement.per_worker_max:
                 full.add(kind)
-            continue
-        chosen.room.charge(run.task, run.spec.demand)
+            return
+        chosen.room.charge(run.task, spec.demand)
         waiting.remove(run.task)
         placed.append(Placed(run, chosen.record.worker))
-    return placed
+
+
+def _claim(
+    group: RemoteGroup,
+    open_workers: list[Candidate],
+    speeds: WorkerSpeeds,
+    full: set[_Kind],
+    now_ms: float,
+    claimed: list[Claimed],
+) -> None:
+    summary = group.summary
+    kind = _Kind(summary.service, summary.demand, summary.placement, summary.speed_min)
+    # How many of its step a worker has is known only where all of the step is.
+    if kind in full or summary.tier == HOPELESS or summary.placement.per_worker_max:
+        return
+    reservations: list[Reservation] = []
+    while group.left > 0:
+        chosen = choose_worker(kind, summary.group, open_workers, speeds)
+        if chosen is None:
+            full.add(kind)
+            break
+        number = next(_reservation_numbers)
+        chosen.room.reserve(number, summary.demand, now_ms + RESERVED_MS)
+        reservations.append(Reservation(chosen.record.worker, number))
+        group.left -= 1
+    if reservations:
+        claimed.append(Claimed(group.zone, summary.group, reservations))
 
 
 def choose_worker(
-    run: Run, open_workers: Iterable[Candidate], speeds: WorkerSpeeds
+    kind: _Kind, group: GroupId, open_workers: Iterable[Candidate], speeds: WorkerSpeeds
 ) -> Candidate | None:
-    """Return the best worker with room for *run*, if any: near its data, fast, tightly filled."""
-    fitting = [one for one in open_workers if _may_run(run, one)]
+    """Return the best worker with room, if any: near the data, fast, tightly filled."""
+    fitting = [one for one in open_workers if _may_run(kind, group, one, speeds)]
     if not fitting:
         return None
-    return max(fitting, key=lambda one: _preference(run, one, speeds))
+    return max(fitting, key=lambda one: _preference(kind, one, speeds))
 
 
-def _may_run(run: Run, candidate: Candidate) -> bool:
-    spec = run.spec
+def _may_run(kind: _Kind, group: GroupId, candidate: Candidate, speeds: WorkerSpeeds) -> bool:
     record = candidate.record
-    if record.service != spec.service or not candidate.takes(spec.demand):
+    if record.service != kind.service or not candidate.takes(kind.demand):
+        return False
+    if speeds.speed_of(record.worker) < kind.speed_min:
         return False
-    placement = spec.placement
+    placement = kind.placement
     if placement.label and placement.label not in record.labels:
         return False
     if not placement.per_worker_max:
         return True
-    return candidate.room.count_of(spec.job_id, run.task.step) < placement.per_worker_max
+    return candidate.room.count_of(group.job_id, group.step) < placement.per_worker_max
 
 
 def _preference(
-    run: Run, candidate: Candidate, speeds: WorkerSpeeds
+    kind: _Kind, candidate: Candidate, speeds: WorkerSpeeds
 ) -> tuple[bool, float, int, str]:
-    rack = run.spec.placement.rack
+    rack = kind.placement.rack
     is_near = not rack or rack in candidate.record.labels
-    left = candidate.room.free.cpu_milli - run.spec.demand.cpu_milli
+    left = candidate.room.free.cpu_milli - kind.demand.cpu_milli
     worker = candidate.record.worker
     return (is_near, round(speeds.speed_of(worker), 1), -left, worker)
--- a/src/foldloom/scheduling/rooms.py
+++ b/src/foldloom/scheduling/rooms.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from foldloom.jobs.spec import Demand, TaskId
 
 _NOTHING = Demand(0, 0, 0)
@@ -35,6 +37,13 @@
     )
 
 
+class Reserved(NamedTuple):
+    """Room that is kept until ``until_ms``."""
+
+    demand: Demand
+    until_ms: float
+
+
 class Room:
     """One worker's capacity and what is charged to it.
 
@@ -45,6 +54,7 @@
     def __init__(self, capacity: Demand) -> None:
         self._capacity = capacity
         self._charged: dict[TaskId, Demand] = {}
+        self._reserved: dict[int, Reserved] = {}
         self._free = capacity
 
     @property
@@ -78,6 +88,23 @@
         """Give back what *task* took, if anything."""
         self._free = plus(self._free, self._charged.pop(task, _NOTHING))
 
+    def reserve(self, number: int, demand: Demand, until_ms: float) -> None:
+        """Keep room for a run that is claimed elsewhere, under a *number* of the caller's."""
+        self._reserved[number] = Reserved(demand, until_ms)
+        self._free = minus(self._free, demand)
+
+    def unreserve(self, number: int) -> None:
+        """Give back what is kept under *number*, if anything."""
+        reserved = self._reserved.pop(number, None)
+        if reserved is not None:
+            self._free = plus(self._free, reserved.demand)
+
+    def unreserve_expired(self, now_ms: float) -> None:
+        """Give back what was kept for too long."""
+        for number, reserved in list(self._reserved.items()):
+            if now_ms >= reserved.until_ms:
+                self.unreserve(number)
+
     def count_of(self, job_id: str, step: int) -> int:
         """Return how many tasks of a job's step are charged."""
         return sum(1 for task in self._charged if task.job_id == job_id and task.step == step)
--- a/src/foldloom/scheduling/runs.py
+++ b/src/foldloom/scheduling/runs.py
@@ -34,26 +34,34 @@
 
     Args:
         job_id: The job.
+        queue: Where it was handed in.
         service: Whose workers run it.
         text: What its tasks are told.
         demand: What each takes.
         placement: Where they may run.
         priority: 0 comes first.
         estimate_ms: How long one is expected to take.
-        aim_ms: When the job should end; the owner's own clock.
-        late_ms: When it earns nothing more.
+        began_ms: When the job arrived; the owner's own clock.
+        stretch: The job should end this times its longest chain after that, ...
+        slack_ms: ... plus this.
+        other_ms: How long the chain's other steps take.
+        tasks: How many tasks the step has.
         deadline_ms: When it is given up.
     """
 
     job_id: str
+    queue: str
     service: str
     text: str
     demand: Demand
     placement: Placement
     priority: int
     estimate_ms: int
-    aim_ms: float
-    late_ms: float
+    began_ms: float
+    stretch: float
+    slack_ms: float
+    other_ms: float
+    tasks: int
     deadline_ms: float
 
 
@@ -61,7 +69,8 @@
     """The present run of one task; at most one of a task is known to an owner.
 
     ``began_ms`` is when this owner ordered the start (0: an earlier owner did);
-    ``stop_known_ms`` when the worker confirmed an order to stop (0: not yet).
+    ``stop_known_ms`` when the worker confirmed an order to stop (0: not yet); ``was_ordered``
+    whether a start of the task was ever ordered here.
 
     Args:
         task: The task.
@@ -82,6 +91,7 @@
         "stop_sent_ms",
         "task",
         "traced_until",
+        "was_ordered",
         "worker",
     )
 
@@ -97,6 +107,7 @@
         self.began_ms = 0.0
         self.stop_known_ms = 0.0
         self.stop_sent_ms = 0.0
+        self.was_ordered = False
         self.holders: set[HolderId] = set()
         self.traced_until = TraceBound(0.0, 0.0)
 
@@ -107,6 +118,7 @@
 
     def enter(self, state: RunState, now_ms: float, worker: str = "") -> None:
         """Go to *state*; *worker* is where it is from then on."""
+        self.was_ordered = self.was_ordered or state is not RunState.QUEUED
         if state is RunState.STARTING:
             self.began_ms = now_ms
         elif state is RunState.QUEUED:
--- /dev/null
+++ b/src/foldloom/scheduling/sharing.py
@@ -0,0 +1,97 @@
+# SPDX-License-Identifier: MIT
+"""What waits in other zones, as their owners tell: room that is free here may be used for it.
+
+Each owner serves its own zone's jobs first come by rank, and sees the first of what waits
+elsewhere in the same order. Where a group of another zone is next, it reserves room, claims runs
+from their owner, and their node hands them in here.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from foldloom.jobs.spec import Demand, Placement, TaskId
+from foldloom.scheduling.policies import Rank
+
+VIEW_KEPT_MS = 300.0
+RESERVED_MS = 40.0
+
+
+class GroupId(NamedTuple):
+    """One step of one time of one job."""
+
+    job_id: str
+    repeat: int
+    step: int
+
+
+def group_of(task: TaskId) -> GroupId:
+    """Return the group that *task* belongs to."""
+    return GroupId(task.job_id, task.repeat, task.step)
+
+
+class GroupSummary(NamedTuple):
+    """A group that waits in another zone.
+
+    Args:
+        group: Which.
+        service: Whose workers run it.
+        demand: What each task takes.
+        placement: Where they may run.
+        tier: Its tier.
+        level: Its level in the tier.
+        by_in_ms: In how long it must start.
+        waiting: How many of its runs wait.
+        cpu_ms: How much processor they will take, in core milliseconds.
+        speed_min: How fast a worker must be for the job to stay in its tier.
+    """
+
+    group: GroupId
+    service: str
+    demand: Demand
+    placement: Placement
+    tier: int
+    level: int
+    by_in_ms: int
+    waiting: int
+    cpu_ms: int
+    speed_min: float = 0.0
+
+
+class RemoteGroup:
+    """A group that waits in another zone, and how many of its runs were not claimed yet.
+
+    Args:
+        zone: Where it waits.
+        summary: What its owner told.
+        heard_ms: When.
+    """
+
+    def __init__(self, zone: str, summary: GroupSummary, heard_ms: float) -> None:
+        self.zone = zone
+        self.summary = summary
+        self.rank = Rank(summary.tier, summary.level, heard_ms + summary.by_in_ms)
+        self.left = summary.waiting
+
+
+class RemoteGroups:
+    """What waits in the other zones."""
+
+    def __init__(self) -> None:
+        self._by_zone: dict[str, list[RemoteGroup]] = {}
+        self._heard_ms: dict[str, float] = {}
+
+    def hear(self, zone: str, summaries: list[GroupSummary], now_ms: float) -> None:
+        """Take what an owner tells of its queue."""
+        self._by_zone[zone] = [RemoteGroup(zone, one, now_ms) for one in summaries]
+        self._heard_ms[zone] = now_ms
+
+    def claimable(self, now_ms: float) -> list[RemoteGroup]:
+        """Return the groups that were told of lately and have runs left to claim."""
+        return [
+            group
+            for zone, groups in self._by_zone.items()
+            if now_ms - self._heard_ms[zone] < VIEW_KEPT_MS
+            for group in groups
+            if group.left > 0
+        ]
--- a/src/foldloom/scheduling/waiting.py
+++ b/src/foldloom/scheduling/waiting.py
@@ -1,73 +1,98 @@
 # SPDX-License-Identifier: MIT
-"""Runs that wait for room, in the order in which they should get it."""
+"""Runs that wait for room, by group."""
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
-from collections.abc import Iterator
-from typing import NamedTuple
-
 from foldloom.jobs.spec import TaskId
+from foldloom.scheduling.estimates import Estimates
+from foldloom.scheduling.groups import Group
+from foldloom.scheduling.policies import Policy, rank, speed_min
 from foldloom.scheduling.runs import Run
-
-
-class _Place(NamedTuple):
-    """A run's place in the order."""
-
-    priority: int
-    arrival: int
-    task: TaskId
+from foldloom.scheduling.sharing import GroupId, GroupSummary, group_of
 
 
 class WaitingRuns:
-    """Runs by priority, then by the arrival of their job's step."""
+    """The groups that have runs here, waiting or not, and the runs of them that wait.
 
-    def __init__(self) -> None:
-        self._order: list[_Place] = []
-        self._places: dict[TaskId, _Place] = {}
-        self._runs: dict[TaskId, Run] = {}
-        self._arrivals: dict[str, int] = {}
-        self._next_arrival = 0
-        self._cpu_milli = 0
+    Args:
+        estimates: How long tasks take.
+    """
+
+    def __init__(self, estimates: Estimates) -> None:
+        self._estimates = estimates
+        self._groups: dict[GroupId, Group] = {}
+        self._waiting_count = 0
 
     def __len__(self) -> int:
-        return len(self._order)
+        return self._waiting_count
 
     def __contains__(self, task: TaskId) -> bool:
-        return task in self._places
+        group = self._groups.get(group_of(task))
+        return group is not None and task in group.waiting
 
     @property
-    def cpu_milli(self) -> int:
-        """How much processor all of them ask for, in thousandths of cores."""
-        return self._cpu_milli
+    def groups(self) -> list[Group]:
+        """The groups with runs that wait."""
+        return [group for group in self._groups.values() if group.waiting]
 
-    def __iter__(self) -> Iterator[Run]:
-        """Go through a copy, so that runs may be taken out meanwhile."""
-        for place in list(self._order):
-            yield self._runs[place.task]
+    @property
+    def cpu_milli(self) -> int:
+        """How much processor all that wait ask for, in thousandths of cores."""
+        return sum(len(group.waiting) * group.spec.demand.cpu_milli for group in self.groups)
+
+    def get(self, key: GroupId) -> Group | None:
+        """Return the group *key*, if any run of it is here."""
+        return self._groups.get(key)
+
+    def group(self, run: Run) -> Group:
+        """Return the group of *run*, a new one if it is the first of its group."""
+        key = group_of(run.task)
+        known = self._groups.get(key)
+        if known is None:
+            expected_ms = self._estimates.expected_ms(run.spec.queue, run.spec.estimate_ms)
+            known = Group(run.spec, expected_ms)
+            self._groups[key] = known
+        return known
 
     def add(self, run: Run) -> None:
-        """Put *run* among those of its job, behind what came before."""
-        if run.task in self._places:
-            return
-        job_id = run.spec.job_id
-        if job_id not in self._arrivals:
-            self._next_arrival += 1
-            self._arrivals[job_id] = self._next_arrival
-        place = _Place(run.spec.priority, self._arrivals[job_id], run.task)
-        self._places[run.task] = place
-        self._runs[run.task] = run
-        self._cpu_milli += run.spec.demand.cpu_milli
-        insort(self._order, place)
+        """Let *run* wait."""
+        group = self.group(run)
+        if run.task not in group.waiting:
+            group.waiting[run.task] = run
+            self._waiting_count += 1
 
     def remove(self, task: TaskId) -> None:
         """Take a run out, if it waits."""
-        place = self._places.pop(task, None)
-        if place is None:
-            return
-        del self._order[bisect_left(self._order, place)]
-        self._cpu_milli -= self._runs.pop(task).spec.demand.cpu_milli
-
-    def forget_job(self, job_id: str) -> None:
-        """Forget when a job arrived; it comes again behind all others."""
-        self._arrivals.pop(job_id, None)
+        group = self._groups.get(group_of(task))
+        if group is not None and group.waiting.pop(task, None) is not None:
+            self._waiting_count -= 1
+
+    def forget(self, key: GroupId) -> None:
+        """Forget a group of which nothing is here any more."""
+        group = self._groups.pop(key, None)
+        if group is not None:
+            self._waiting_count -= len(group.waiting)
+
+    def summaries(self, policy: Policy, now_ms: float, most: int) -> list[GroupSummary]:
+        """Return the first groups in order, for the owners of other zones."""
+        ranked = sorted((rank(policy, group, now_ms), key) for key, group in self._waiting_items())
+        told = []
+        for place, key in ranked[:most]:
+            group = self._groups[key]
+            summary = GroupSummary(
+                key,
+                group.spec.service,
+                group.spec.demand,
+                group.spec.placement,
+                place.tier,
+                place.level,
+                int(place.by_ms - now_ms),
+                len(group.waiting),
+                int(group.waiting_cpu_ms),
+                speed_min(group, now_ms),
+            )
+            told.append(summary)
+        return told
+
+    def _waiting_items(self) -> list[tuple[GroupId, Group]]:
+        return [(key, group) for key, group in self._groups.items() if group.waiting]
--- a/tests/test_owners_election.py
+++ b/tests/test_owners_election.py
@@ -46,7 +46,11 @@
         """The first in order waits least."""
         nodes = ["10.0.0.2:1", "10.0.0.1:1"]
         assert [rank_of(node, nodes) for node in sorted(nodes)] == [0, 1]
-        assert patience_ms(_SILENT_MS, 0) < patience_ms(_SILENT_MS, 1)
+        assert patience_ms(_SILENT_MS, 0, True) < patience_ms(_SILENT_MS, 1, True)
+
+    def test_first_start(self) -> None:
+        """One that never heard an owner does not wait for one to fall silent."""
+        assert patience_ms(_SILENT_MS, 0, False) < _SILENT_MS
 
 
 class TestTokens:
--- a/tests/test_owners_machine.py
+++ b/tests/test_owners_machine.py
@@ -15,7 +15,7 @@
 from foldloom.owners.lease import LAPSE_MARGIN_MS, STOP_OVERDUE_MS, WorkerClock, gone_after_ms
 from foldloom.owners.messages import EndCause, RunOrder
 from foldloom.owners.state import OwnerState, StartAction, StopAction
-from foldloom.scheduling.runs import HolderId, RunState
+from foldloom.scheduling.runs import HolderId
 from foldloom.workers.calls import CallOutcome, EndKind
 from models.worker_world import SimulatedWorker
 from test_owners_state import submission, worker
@@ -191,18 +191,15 @@
         assert len(present) == len(set(present)), present
 
     def teardown(self) -> None:
-        """Heal everything: each open run gets its end, or runs."""
+        """Heal everything and let all that runs end: each open task is done."""
         for one in self.workers.values():
             one.is_reachable = True
-        for _ in range(20):
-            for name in _WORKERS:
-                self._look(self.term, name)
+        for _ in range(60):
             self.act("done")
-            self._pass(100.0)
-        for task in self.open:
-            run = self.term.state.run_of(task)
-            assert run is not None
-            assert run.state in (RunState.RUNNING, RunState.QUEUED)
+            self._pass(50.0)
+            for name in _WORKERS:
+                self.finish(name, EndKind.DONE)
+        assert not self.open, self.open
 
     def _take_ends(self) -> None:
         for holder, end in self.term.state.take_ends():
@@ -351,7 +348,7 @@
         machine.runs_once()
 
     def test_no_task_is_on_two_workers(self) -> None:
-        """After each step of each walk the rule holds; at the end each open run has a place."""
+        """After each step of each walk the rule holds; at the end each open task is done."""
         first = int(os.environ.get("FOLDLOOM_FIRST_SEED", "0"))
         for seed in range(first, first + self._WALKS):
             try:
--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from foldloom.jobs.spec import Demand, Placement, RunId, TaskId
-from foldloom.owners.messages import EndCause, RunEnd, RunOrder, SubmitRuns, SubmitStatus
+from foldloom.owners.messages import EndCause, Objective, RunEnd, RunOrder, SubmitRuns, SubmitStatus
 from foldloom.owners.state import OwnerState
 from foldloom.scheduling.runs import HolderId
 from foldloom.workers.calls import ActiveRun, CallOutcome, EndedRun, EndKind
@@ -30,20 +30,21 @@
     """Return a message that hands in the tasks of a job."""
     orders = [RunOrder(0, number, run, is_resumed) for number in range(tasks)]
     message = SubmitRuns(
-        1,
-        job_id,
-        0,
-        "svc",
-        "text",
-        Demand(6_800, 64, 0),
-        Placement(),
-        0,
-        100,
-        200,
-        600,
-        2_000,
-        0,
-        orders,
+        token=1,
+        job_id=job_id,
+        repeat=0,
+        queue="q",
+        service="svc",
+        spec="text",
+        demand=Demand(6_800, 64, 0),
+        placement=Placement(),
+        priority=0,
+        tasks=tasks,
+        estimate_ms=100,
+        objective=Objective(0, 1.6, 10**7, 0),
+        deadline_ms=10**7,
+        old_right_ms=0,
+        orders=orders,
     )
     return message._replace(**changes)
 
@@ -174,6 +175,40 @@
         assert state.take_starts()[0].run_id == first.run_id
 
 
+class TestGivingUp:
+    """What can't earn anything is let go of, and the truth is told about it."""
+
+    def test_never_started(self) -> None:
+        """A run that waited until it was hopeless is told as never started."""
+        state = owner_with()
+        state.submit(_E1, submission(run=2, objective=Objective(0, 1.6, 60, 0)), 1.0)
+        state.tick(2_000.0)
+        ends = ends_of(state)
+        assert [(end.cause, end.has_started) for _, end in ends] == [(EndCause.HOPELESS, False)]
+        assert not state.cancel(_E1, _JOB, 2_001.0)
+
+    def test_started_before(self) -> None:
+        """One that was ordered to start on a worker that fell silent is not."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, submission(objective=Objective(0, 1.6, 60, 0)), 1.0)
+        state.place(1.0)
+        first = state.take_starts()[0]
+        state.note_start(first.run_id, "w1", CallOutcome.UNKNOWN, 251.0)
+        state.note_lapsed("w1", 900.0)
+        state.tick(2_000.0)
+        ends = ends_of(state)
+        assert [(end.cause, end.has_started) for _, end in ends] == [(EndCause.HOPELESS, True)]
+
+    def test_cancelled_after_a_start_was_ordered(self) -> None:
+        """A cancel tells that something may have started."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, submission(), 1.0)
+        state.place(1.0)
+        first = state.take_starts()[0]
+        state.note_start(first.run_id, "w1", CallOutcome.NO_ROOM, 2.0)
+        assert state.cancel(_E1, _JOB, 3.0)
+
+
 class TestHolders:
     """Who wants a run, and what happens when nobody does."""
 
