A job whose owner fell silent is not said to have run nowhere

Its new owner had fallen silent; the entry node dropped what it had handed it (OwnerTie.take_lost) and with it the knowledge that something may have run, so a later "hopeless" was taken for the whole truth. Reading on: a new owner was asked about a job of the owner before, whose starts it can't know.

Ruled out: the owner's own word. It counts every start that it ordered (was_ordered, _past).

Change: a job is remembered as one that may have run once an owner of it fell silent, and a batch that is handed to a new owner counts as started.

--- a/src/foldloom/owners/batches.py
+++ b/src/foldloom/owners/batches.py
@@ -19,7 +19,7 @@
         ends: Where their ends go.
         began_ms: When the template's times count from; own monotonic clock.
 
-    ``has_started`` tells whether an end showed that a run of it has started.
+    ``has_started`` tells whether a run of it has started, or may have under an earlier owner.
     """
 
     def __init__(self, template: SubmitRuns, ends: asyncio.Queue[RunEnd], began_ms: float) -> None:
--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -44,6 +44,7 @@
         self._timings = timings
         self._home = OwnerTie(view.own.zone, view, network, timings)
         self._jobs: set[str] = set()
+        self._maybe_started: set[str] = set()
         self._ties: dict[str, OwnerTie] = {view.own.zone: self._home}
         self._tasks: set[asyncio.Task[Any]] = set()
         network.on(RunsEnded, self._on_ends)
@@ -72,6 +73,8 @@
             await asyncio.sleep(_LOST_CHECK_S)
             for tie in self._ties.values():
                 for batch, order in tie.take_lost():
+                    # Its owner can't be asked any more, and may have started it.
+                    self._maybe_started.add(batch.template.job_id)
                     end = RunEnd(RunId(batch.task(order), order.run), EndCause.LOST)
                     batch.ends.put_nowait(end)
 
@@ -92,13 +95,19 @@
         """Want nothing more of a job; return whether any run of it may have started."""
         self._jobs.discard(job_id)
         told = [tie.cancel(job_id) for tie in self._ties.values() if tie.batches_of(job_id)]
-        return any(await asyncio.gather(*told))
+        has_started = any(await asyncio.gather(*told))
+        return has_started or job_id in self._maybe_started
 
     def forget(self, job_id: str) -> None:
         """Want nothing more of a job, and wait for nobody."""
         self._jobs.discard(job_id)
-        if any(tie.batches_of(job_id) for tie in self._ties.values()):
-            self._spawn(self.give_up(job_id))
+        is_open = any(tie.batches_of(job_id) for tie in self._ties.values())
+        if is_open or job_id in self._maybe_started:
+            self._spawn(self._forget(job_id))
+
+    async def _forget(self, job_id: str) -> None:
+        await self.give_up(job_id)
+        self._maybe_started.discard(job_id)
 
     def _choose(self) -> OwnerTie | None:
         """Return the own zone's owner while it is heard, else the one with the most room."""
--- a/src/foldloom/owners/tie.py
+++ b/src/foldloom/owners/tie.py
@@ -130,6 +130,8 @@
                 if not orders:
                     continue
                 batch.add(orders)
+                # The new owner does not know what the one before has started.
+                batch.has_started = True
                 self._spawn(self._send_again(batch, orders, old_right_ms))
 
     async def _send_again(self, batch: Batch, orders: list[RunOrder], right_ms: float) -> None:
--- /dev/null
+++ b/tests/test_owners_client.py
@@ -0,0 +1,191 @@
+# SPDX-License-Identifier: MIT
+"""What an entry node says of a job that it gives up: nothing ran, or something may have run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.fleet.messages import NodeRecord, OwnerBeat, OwnerRecord, ZoneLoad
+from foldloom.fleet.view import FleetView
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.owners.client import OwnerClient
+from foldloom.owners.messages import (
+    CancelJob,
+    Cancelled,
+    EndCause,
+    RunEnd,
+    RunOrder,
+    RunsEnded,
+    SubmitReply,
+    SubmitRuns,
+    SubmitStatus,
+)
+from foldloom.settings import ENTRY, TimingSettings
+from test_owners_state import submission
+
+_JOB = "a" * 16
+_HOME, _OTHER = "home", "other"
+
+
+class FakeNetwork:
+    """Peers that answer what the test says, and keep what they were asked."""
+
+    def __init__(self) -> None:
+        self.has_started = False
+        self.is_reachable = True
+        self.asked: list[Any] = []
+        self.handlers: dict[type, Callable[..., Any]] = {}
+
+    def on(self, kind: type, handler: Callable[..., Any]) -> None:
+        """Keep who takes messages of a kind."""
+        self.handlers[kind] = handler
+
+    def tell(self, _node: str, _message: Any, _ttl_ms: float = 0) -> None:
+        """Lose a message that needs no answer."""
+
+    async def ask(self, _node: str, message: Any, _timeout_ms: float) -> Any:
+        """Answer as an owner that takes all runs."""
+        self.asked.append(message)
+        if not self.is_reachable:
+            raise PeerUnreachableError
+        if isinstance(message, CancelJob):
+            return Cancelled(self.has_started)
+        return SubmitReply(SubmitStatus.TAKEN)
+
+
+class Rig:
+    """A client of a zone's owner, without sockets."""
+
+    def __init__(self, timings: TimingSettings | None = None) -> None:
+        self.network = FakeNetwork()
+        own = NodeRecord("10.0.0.1:1", 1, _HOME, ENTRY, "e")
+        network: Any = self.network
+        self.client = OwnerClient(FleetView(own, []), network, timings or TimingSettings())
+        self.ends: asyncio.Queue[RunEnd] = asyncio.Queue()
+
+    def beat(self, token: int, zone: str = _HOME) -> None:
+        """Hear an owner."""
+        record = NodeRecord(f"10.0.0.{token}:1", 1, zone, ENTRY, "o")
+        owner = OwnerRecord(zone, token, record.node, 1)
+        self.client.hear_beat(OwnerBeat(owner, record, 0, 0, ZoneLoad(10**6, 10**6, 0)), 0)
+
+    async def submit(self, run: int = 1) -> SubmitReply:
+        """Hand one run in."""
+        template: SubmitRuns = submission(job_id=_JOB)
+        return await self.client.submit(template, 0.0, self.ends, [RunOrder(0, 0, run)])
+
+    def end(self, cause: EndCause, zone: str = _HOME, **fields: Any) -> None:
+        """Hear of the run's end."""
+        end = RunEnd(RunId(TaskId(_JOB, 0, 0, 0), 1), cause, **fields)
+        self.network.handlers[RunsEnded]("10.0.0.1:1", RunsEnded(zone, [end]))
+
+
+def _run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(test)
+
+
+class TestGivingUp:
+    """The verdict on a job that is given up."""
+
+    def test_nothing_started(self) -> None:
+        """An owner that never ordered a start says so, and is believed."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            assert not await rig.client.give_up(_JOB)
+
+        _run(play())
+
+    def test_the_owner_knows_of_a_start(self) -> None:
+        """An owner that ordered a start says so."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            rig.network.has_started = True
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
+
+    def test_no_answer(self) -> None:
+        """An owner that does not answer may have started it."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            rig.network.is_reachable = False
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
+
+    def test_an_owner_that_fell_silent(self) -> None:
+        """A run whose owner fell silent is over, but may have been carried out."""
+
+        async def play() -> None:
+            rig = Rig(TimingSettings(session_ms=1, worker_lease_ms=1))
+            rig.beat(1)
+            await rig.submit()
+            watching = asyncio.create_task(rig.client.run())
+            end = await asyncio.wait_for(rig.ends.get(), 5.0)
+            watching.cancel()
+            assert end.cause is EndCause.LOST
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
+
+    def test_a_new_owner_knows_nothing_of_the_one_before(self) -> None:
+        """What a new owner says of a job covers only its own term."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            rig.beat(2)
+            await asyncio.sleep(0)
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
+
+    def test_moved_before_any_start(self) -> None:
+        """A run that moved to another zone without a start leaves the verdict to that zone."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            rig.beat(2, _OTHER)
+            await rig.submit()
+            rig.end(EndCause.MOVED, moved_to=_OTHER, has_started=False)
+            await asyncio.sleep(0.01)
+            assert not await rig.client.give_up(_JOB)
+            assert sum(isinstance(one, CancelJob) for one in rig.network.asked) == 1
+
+        _run(play())
+
+    def test_done_in_another_zone_whose_owner_fell_silent(self) -> None:
+        """A run moves, its new owner falls silent, the job is given up: it may have run there.
+
+        Seen on the bench: trouble-1 of Sahulat in journal 0bdfe35e, REFUSED at 36.367 s.
+        """
+
+        async def play() -> None:
+            rig = Rig(TimingSettings(session_ms=1, worker_lease_ms=1))
+            rig.beat(1)
+            rig.beat(2, _OTHER)
+            await rig.submit()
+            rig.end(EndCause.MOVED, moved_to=_OTHER, has_started=False)
+            await asyncio.sleep(0.01)
+            watching = asyncio.create_task(rig.client.run())
+            assert (await asyncio.wait_for(rig.ends.get(), 5.0)).cause is EndCause.LOST
+            watching.cancel()
+            rig.beat(1)
+            await rig.submit(2)
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
