Owners as an exhaustive model; an isolated owner takes nothing for lapsed

The first draft of the model (tests/models/owners_model.py) gave a counterexample: an owner that lives on behind a cut thinks a silent worker's run gone and starts it elsewhere, while a second owner has found and renewed it. The first owner's right from its own node never ends.

Ruled out: making a new owner renew nothing for 400 ms; that would end all running work at every lost owner. Fencing does not help where each owner reaches a worker that the other does not.

Change: the model (two owners, a slow clock, late orders, a node that dies or loses its caller); an owner whose right nobody but its own node grants waits with lapsed runs (ZoneOwner.is_isolated).

The three tests of the isolated owner could not run before: the property did not exist.

Conclusion: the model covers grants of other nodes; the owner's own node is covered by the new rule and its tests, not by the model.

--- a/src/foldloom/owners/sessions.py
+++ b/src/foldloom/owners/sessions.py
@@ -86,6 +86,13 @@
         session = self._sessions.get(holder)
         return session is not None and now_ms < session.right_until_ms
 
+    def has_other(self, node: str, now_ms: float) -> bool:
+        """Return whether any node but *node* grants its right now."""
+        return any(
+            holder.node != node and now_ms < session.right_until_ms
+            for holder, session in self._sessions.items()
+        )
+
     def grant(self, holder: HolderId, beat_ms: float) -> None:
         """Take an echo of the beat sent at *beat_ms*, own clock."""
         session = self._sessions.get(holder)
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -124,6 +124,14 @@
             queued_milli=self._state.waiting.cpu_milli,
         )
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether other entry nodes are known and none of them grants its right any more."""
+        own = self._view.own.node
+        if self._view.entries == [own]:
+            return False
+        return not self._sessions.has_other(own, monotonic_ms())
+
     def start(self) -> None:
         """Look at every worker and begin to beat."""
         self._spawn(self._beat())
@@ -307,6 +315,10 @@
         self._state.drop_worker(worker, now_ms)
 
     def _judge_silent(self, now_ms: float) -> None:
+        # Somebody else may own the zone by now, and reach a worker that is silent here: it
+        # would keep what this owner takes for lapsed (tests/models/owners_model.py).
+        if self.is_isolated:
+            return
         for worker, link in self._links.items():
             if link.has_lapsed(now_ms):
                 WORKER_LOG.warning("The lease of {} has lapsed.", worker)
--- /dev/null
+++ b/tests/models/owners_model.py
@@ -0,0 +1,286 @@
+# SPDX-License-Identifier: MIT
+"""A small specification of owners and one task, for exhaustive checking.
+
+Two workers, of which the first has a slow clock; two owners, of which the first may live on;
+two entry nodes, of which the first dies or loses its caller, and the second is handed the same
+job again. Time passes
+in ticks; whatever may happen in a tick happens in any order or not at all, which covers cuts,
+frozen owners and messages that are lost; an order to start may also be carried out late.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from enum import IntEnum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+FIRST, SECOND = 0, 1
+SLOW_WORKER, WORKERS = 0, (0, 1)
+NEVER = -1
+
+# In ticks: how long a grant and a lease last, and a lease by the slow worker's clock.
+SESSION, LEASE, LEASE_SLOW = 2, 1, 2
+
+
+class Rules(NamedTuple):
+    """Which rules hold; each may be left out to see what breaks."""
+
+    rights_end: bool = True
+    right_is_looked_at_first: bool = True
+    lapse_counts_slow_clocks: bool = True
+    orders_expire: bool = True
+    workers_fence: bool = True
+    new_owner_looks_first: bool = True
+    claims_after_silence: bool = True
+    same_job_attaches: bool = True
+
+
+class Bounds(NamedTuple):
+    """How far the search goes, and after how long a caller sends its job again."""
+
+    ticks: int
+    resend: int = SESSION + LEASE_SLOW - 1
+
+
+class Belief(IntEnum):
+    """What an owner thinks of the task."""
+
+    UNKNOWN = 0
+    TRACED = 1
+    QUEUED = 2
+    PLACED = 3
+
+
+class Worker(NamedTuple):
+    """A worker; its lease ends at ``until``, which is real time."""
+
+    is_running: bool = False
+    until: int = 0
+    token: int = 0
+
+
+class Owner(NamedTuple):
+    """An owner: its grants' ends, its belief, where the run is and by when it is gone there."""
+
+    is_active: bool = False
+    right_until: int = 0
+    belief: Belief = Belief.UNKNOWN
+    worker: int = NEVER
+    gone_at: int = 0
+    looked: frozenset[int] = frozenset()
+
+
+class Order(NamedTuple):
+    """An order to start that is still on its way; it expires at ``until``, real time."""
+
+    worker: int
+    token: int
+    until: int
+
+
+class State(NamedTuple):
+    """Everything."""
+
+    now: int
+    workers: tuple[Worker, Worker]
+    owners: tuple[Owner, Owner]
+    order: Order | None
+    node_lost: int
+    node_lives: bool
+    is_resent: bool
+
+
+def owners_protocol(rules: Rules, bounds: Bounds) -> Protocol:
+    """Return the protocol under *rules* as minicheck takes it."""
+    first = Owner(is_active=True, right_until=SESSION, belief=Belief.QUEUED)
+    start = State(0, (Worker(), Worker()), (first, Owner()), None, NEVER, True, False)
+    return Protocol(
+        name="owners",
+        candidate=False,
+        fields=State._fields,
+        initial=start,
+        transitions=lambda state: list(_steps(State(*state), rules, bounds)),
+        invariants={"runs_once": _runs_once},
+    )
+
+
+def _runs_once(fields: dict[str, tuple[Worker, Worker]]) -> bool:
+    return sum(worker.is_running for worker in fields["workers"]) <= 1
+
+
+def _steps(state: State, rules: Rules, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    if state.now < bounds.ticks:
+        yield "time passes", _tick(state)
+    if state.node_lost == NEVER:
+        yield "node 0 dies", state._replace(node_lost=state.now, node_lives=False)
+        yield "node 0's caller is lost to it", state._replace(node_lost=state.now)
+    yield from _nodes(state, rules, bounds)
+    if state.order is not None:
+        yield from _late_order(state, state.order, rules)
+    for number, owner in enumerate(state.owners):
+        if owner.is_active:
+            yield from _owner(state, number, rules)
+
+
+def _tick(state: State) -> State:
+    now = state.now + 1
+    ended = [
+        worker._replace(is_running=worker.is_running and now < worker.until)
+        for worker in state.workers
+    ]
+    return state._replace(now=now, workers=(ended[0], ended[1]))
+
+
+def _nodes(state: State, rules: Rules, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    """What the entry nodes do: they grant, follow a new owner, hand the job in again."""
+    present = SECOND if state.owners[SECOND].is_active else FIRST
+    is_granting = state.node_lives or state.is_resent
+    until = state.now + SESSION
+    if is_granting and state.owners[present].right_until < until:
+        granted = state.owners[present]._replace(right_until=until)
+        yield f"owner {present} is granted its right", _own(state, present, granted)
+    # A node that lives says for how long it has not heard the owner before.
+    is_silent = not state.node_lives or state.now >= state.owners[FIRST].right_until
+    may_claim = is_silent or not rules.claims_after_silence
+    if not state.owners[SECOND].is_active and may_claim:
+        yield "owner 1 takes over", _take_over(state, rules)
+    is_due = state.node_lost != NEVER and state.now >= state.node_lost + bounds.resend
+    if is_due and not state.is_resent:
+        yield "node 1 hands the job in", _resend(state, present, rules)
+
+
+def _take_over(state: State, rules: Rules) -> State:
+    """Let the second owner begin; a living node hands its task over as one to look for."""
+    owner = Owner(is_active=True)
+    if state.node_lives:
+        # The node knows when its last grant to the first owner has ended.
+        gone_at = state.owners[FIRST].right_until + LEASE_SLOW
+        belief = Belief.TRACED if rules.new_owner_looks_first else Belief.QUEUED
+        owner = owner._replace(belief=belief, gone_at=gone_at, right_until=state.now + SESSION)
+    return _own(state, SECOND, owner)
+
+
+def _resend(state: State, present: int, rules: Rules) -> State:
+    """Hand the job in once more: it attaches to what the owner knows of."""
+    owner = state.owners[present]._replace(right_until=state.now + SESSION)
+    if owner.belief is Belief.UNKNOWN or not rules.same_job_attaches:
+        owner = owner._replace(belief=Belief.QUEUED)
+    return _own(state._replace(is_resent=True), present, owner)
+
+
+def _late_order(state: State, order: Order, rules: Rules) -> Iterator[tuple[str, State]]:
+    """Carry out an order that is late."""
+    after = state._replace(order=None)
+    worker = state.workers[order.worker]
+    is_fenced = rules.workers_fence and order.token < worker.token
+    has_expired = rules.orders_expire and state.now >= order.until
+    if is_fenced or has_expired or worker.is_running:
+        yield "a late order is refused", after
+        return
+    until = order.until if rules.orders_expire else state.now + LEASE
+    started = Worker(True, until, max(order.token, worker.token))
+    yield f"a late order starts on worker {order.worker}", _work(after, order.worker, started)
+
+
+def _owner(state: State, number: int, rules: Rules) -> Iterator[tuple[str, State]]:
+    owner = state.owners[number]
+    has_right = state.now < owner.right_until or not rules.rights_end
+    if owner.belief is Belief.PLACED:
+        yield from _placed(state, number, has_right, rules)
+    if owner.belief is Belief.TRACED:
+        yield from _traced(state, number)
+    if owner.belief is Belief.QUEUED and has_right:
+        yield from _start(state, number, rules)
+
+
+def _is_fenced(state: State, number: int, worker: int, rules: Rules) -> bool:
+    return rules.workers_fence and number < state.workers[worker].token
+
+
+def _lease_end(state: State, worker: int) -> int:
+    return state.now + (LEASE_SLOW if worker == SLOW_WORKER else LEASE)
+
+
+def _gone_at(state: State, worker: int, rules: Rules) -> int:
+    return _lease_end(state, worker) if rules.lapse_counts_slow_clocks else state.now + LEASE
+
+
+def _placed(
+    state: State, number: int, has_right: bool, rules: Rules
+) -> Iterator[tuple[str, State]]:
+    """Renew, stop, or think a run gone whose lease is over for certain."""
+    owner = state.owners[number]
+    worker = state.workers[owner.worker]
+    can_call = not _is_fenced(state, number, owner.worker, rules)
+    may_renew = has_right or not rules.right_is_looked_at_first
+    if can_call and may_renew and worker.is_running:
+        until = max(worker.until, _lease_end(state, owner.worker))
+        renewed = _work(state, owner.worker, worker._replace(until=until, token=number))
+        gone_at = max(owner.gone_at, _gone_at(state, owner.worker, rules))
+        yield f"owner {number} renews", _own(renewed, number, owner._replace(gone_at=gone_at))
+    if can_call and not has_right:
+        stopped = _work(state, owner.worker, Worker(False, 0, number))
+        if state.order is not None and state.order.worker == owner.worker:
+            # A worker never starts a run that it was told to stop.
+            stopped = stopped._replace(order=None)
+        yield (
+            f"owner {number} stops it",
+            _own(stopped, number, owner._replace(belief=Belief.UNKNOWN)),
+        )
+    if state.now >= owner.gone_at:
+        belief = Belief.QUEUED if has_right else Belief.UNKNOWN
+        yield f"owner {number} thinks it gone", _own(state, number, owner._replace(belief=belief))
+
+
+def _traced(state: State, number: int) -> Iterator[tuple[str, State]]:
+    """Look for a run that the owner before may have started, or wait until it is gone."""
+    owner = state.owners[number]
+    for worker in WORKERS:
+        seen = _work(state, worker, state.workers[worker]._replace(token=number))
+        if state.workers[worker].is_running:
+            found = owner._replace(
+                belief=Belief.PLACED, worker=worker, gone_at=_lease_end(state, worker)
+            )
+            yield f"owner {number} finds it on worker {worker}", _own(seen, number, found)
+            continue
+        looked = owner._replace(looked=owner.looked | {worker})
+        if state.now >= owner.gone_at - LEASE_SLOW:
+            is_nowhere = len(looked.looked) == len(WORKERS)
+            looked = looked._replace(belief=Belief.QUEUED) if is_nowhere else looked
+            yield f"owner {number} looks at worker {worker}", _own(seen, number, looked)
+    if state.now >= owner.gone_at:
+        queued = owner._replace(belief=Belief.QUEUED)
+        yield f"owner {number} knows it gone", _own(state, number, queued)
+
+
+def _start(state: State, number: int, rules: Rules) -> Iterator[tuple[str, State]]:
+    """Order a start, which is carried out at once or late."""
+    owner = state.owners[number]
+    for worker in WORKERS:
+        if _is_fenced(state, number, worker, rules):
+            continue
+        until = _lease_end(state, worker)
+        placed = owner._replace(
+            belief=Belief.PLACED, worker=worker, gone_at=_gone_at(state, worker, rules)
+        )
+        after = _own(state, number, placed)
+        if not state.workers[worker].is_running:
+            started = _work(after, worker, Worker(True, until, number))
+            yield f"owner {number} starts it on worker {worker}", started
+        if state.order is None:
+            late = after._replace(order=Order(worker, number, until))
+            yield f"owner {number}'s order to worker {worker} is late", late
+
+
+def _own(state: State, number: int, owner: Owner) -> State:
+    owners = list(state.owners)
+    owners[number] = owner
+    return state._replace(owners=(owners[0], owners[1]))
+
+
+def _work(state: State, number: int, worker: Worker) -> State:
+    workers = list(state.workers)
+    workers[number] = worker
+    return state._replace(workers=(workers[0], workers[1]))
--- /dev/null
+++ b/tests/test_owners_zone_owner.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: MIT
+"""One term of owning a zone: whom it hears."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from foldloom.fleet.messages import Echo, NodeRecord, OwnerRecord
+from foldloom.fleet.view import FleetView
+from foldloom.metrics import Metrics
+from foldloom.owners.zone_owner import ZoneOwner
+from foldloom.peers.wire import monotonic_ms
+from foldloom.settings import ENTRY, TimingSettings
+from foldloom.workers.catalog import WorkerCatalog
+
+_ZONE = "z"
+_TOKEN = 5
+
+
+class _Network:
+    """Peers that answer nothing."""
+
+    def known_incarnation(self, _node: str) -> int:
+        """Return a life."""
+        return 1
+
+
+def _record(number: int) -> NodeRecord:
+    return NodeRecord(f"10.0.0.{number}:1", 1, _ZONE, ENTRY, f"e{number}")
+
+
+def _owner(*others: int) -> ZoneOwner:
+    """Return the owner on node 1, which knows the *others*."""
+    own = _record(1)
+    view = FleetView(own, [])
+    for number in others:
+        view.hear_node(_record(number), monotonic_ms())
+    network: Any = _Network()
+    calls: Any = None
+    return ZoneOwner(
+        OwnerRecord(_ZONE, _TOKEN, own.node, own.life),
+        view,
+        network,
+        calls,
+        WorkerCatalog(),
+        TimingSettings(session_ms=50),
+        Metrics(),
+        lambda: 0,
+        lambda _worker: None,
+        lambda: 0.0,
+    )
+
+
+def _echo(owner: ZoneOwner, number: int, beat_ms: float) -> None:
+    owner.hear_echo(_record(number).node, Echo(_TOKEN, int(beat_ms), _record(number), 0))
+
+
+def _run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(test)
+
+
+class TestIsolation:
+    """An owner that nobody hears must not take a silent worker's runs for lapsed."""
+
+    def test_alone_in_the_system(self) -> None:
+        """With no other entry node there is nobody who could own the zone."""
+
+        async def play() -> None:
+            assert not _owner().is_isolated
+
+        _run(play())
+
+    def test_own_grant_does_not_count(self) -> None:
+        """Its own node always hears it."""
+
+        async def play() -> None:
+            owner = _owner(2)
+            _echo(owner, 1, monotonic_ms())
+            assert owner.is_isolated
+            owner.close()
+
+        _run(play())
+
+    def test_heard_by_another(self) -> None:
+        """One other node that grants its right is enough, until the grant is over."""
+
+        async def play() -> None:
+            owner = _owner(2, 3)
+            _echo(owner, 3, monotonic_ms())
+            assert not owner.is_isolated
+            _echo(owner, 2, monotonic_ms() - 100)
+            await asyncio.sleep(0.06)
+            assert owner.is_isolated
+            owner.close()
+
+        _run(play())
