Tests run on four processes, each with ports of its own

Change: pytest-xdist with four workers; a test port comes from a range below the kernel's outgoing ports, from a place that depends on the process, so that a port that was probed is not given to somebody else before its server binds it.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import shutil
@@ -41,18 +42,24 @@
     speed: float
 
 
-_used_ports: set[int] = set()
+# Below the range that the kernel gives to outgoing connections, and apart for test processes
+# that run side by side: a port may be probed long before its server binds it.
+_PORTS_FIRST, _PORTS_COUNT = 10_000, 22_000
+_PORTS_APART = 997
+_ports = itertools.count(os.getpid() * _PORTS_APART)
 
 
 def free_port() -> int:
     """Return a loopback port that nothing listens on and that was not given before."""
     while True:
+        port = _PORTS_FIRST + next(_ports) % _PORTS_COUNT
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return int(port)
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def http(
