--- /dev/null
+++ b/tests/platform_system.py
@@ -0,0 +1,243 @@
+# SPDX-License-Identifier: MIT
+"""The platform's programs as real processes on loopback, with stand-ins of workers and clients.
+
+Each machine has a loopback address of its own, since the platform's machines use equal ports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from cluster import free_port
+from standins.run_worker import SERVICE, RunWorker, Sightings
+
+_ROOT = Path(__file__).resolve().parent.parent
+_HOST, _PREFIX = "desk.example", "/jobs/"
+_ZONE = "a"
+_WAIT_S = 20.0
+_CALL_TIMEOUT_S = 10.0
+
+
+class Answer(NamedTuple):
+    """A client's answer; status 0 if there was none."""
+
+    status: int
+    fields: dict[str, Any]
+    took_ms: float
+
+
+def steps(tasks: int = 1, ms: int = 20, how: str = "done") -> dict[str, Any]:
+    """Return the body of a job that need not be kept."""
+    spec = msgspec.json.encode({"ms": ms, "how": how}).decode()
+    phase = {"count": tasks, "cpu": 1_000, "mem_mb": 64, "estimate_ms": ms}
+    return {"spec": spec, "phases": [phase], "best_effort": True}
+
+
+def job_id(number: int) -> str:
+    """Return the id of the job with this number."""
+    return f"{number:016x}"
+
+
+class PlatformSystem:
+    """One controller, some entry processes and some workers.
+
+    Args:
+        folder: Where settings and the controller's disk lie.
+        entries: How many entry processes.
+        workers: How many workers.
+    """
+
+    def __init__(self, folder: Path, entries: int = 3, workers: int = 2) -> None:
+        self.entries = [f"e{number}" for number in range(entries)]
+        self.sightings = Sightings()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self._folder = folder
+        self._ports = {name: free_port() for name in ("peer", "front", "ready", "control")}
+        # Apart from other test processes, which have subnets of their own.
+        subnet = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
+        names = ["c0", *self.entries]
+        self._ips = {name: f"{subnet}.{number + 1}" for number, name in enumerate(names)}
+        self.workers = [
+            RunWorker(f"w{number}", f"{subnet}.{100 + number}", free_port(), _ZONE, self.sightings)
+            for number in range(workers)
+        ]
+        self._session: ClientSession | None = None
+
+    @property
+    def control(self) -> str:
+        """Where workers and the operator call."""
+        return self.address("c0", "control")
+
+    def address(self, name: str, listener: str) -> str:
+        """Return ``IP:port`` of one of a machine's listeners."""
+        return f"{self._ips[name]}:{self._ports[listener]}"
+
+    async def __aenter__(self) -> PlatformSystem:
+        self._session = ClientSession(timeout=ClientTimeout(total=_CALL_TIMEOUT_S))
+        for name in self._ips:
+            await self.start(name, is_first=True)
+        for worker in self.workers:
+            await worker.start([self.control])
+        await self.until(lambda: self.configure(1), "the configuration is acknowledged")
+        for name in self.entries:
+            await self.until(lambda name=name: self._is_ready(name), f"{name} is ready")
+        await self.until(self._serves, "a job is served")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for worker in self.workers:
+            await worker.stop()
+        for name in list(self.processes):
+            await self.kill(name)
+        assert self._session is not None
+        await self._session.close()
+
+    async def start(self, name: str, is_first: bool = False) -> None:
+        """Start a machine's program."""
+        path = self._folder / f"{name}.toml"
+        path.write_text(self._settings(name, is_first))
+        program = "controller" if name.startswith("c") else "entry"
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(_ROOT / "platform" / f"{program}.py"),
+                env={**os.environ, "FOLDLOOM_SETTINGS": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def kill(self, name: str) -> None:
+        """End a machine's program without a word."""
+        process = self.processes.pop(name)
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Let a machine's program stand still."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let it go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def log_of(self, name: str) -> str:
+        """Return what a machine's program has logged."""
+        return (self._folder / f"{name}.log").read_text()
+
+    def owner(self) -> str:
+        """Return the entry process that claimed the zone last."""
+        claims = {
+            name: max(
+                (int(line.rsplit(" ", 1)[1].rstrip(".")) for line in self._claims(name)), default=0
+            )
+            for name in self.entries
+        }
+        return max(claims, key=lambda name: claims[name])
+
+    async def configure(self, version: int) -> bool:
+        """Send a configuration; return whether it was acknowledged."""
+        route = {
+            "name": "jobs",
+            "host": _HOST,
+            "path_prefix": _PREFIX,
+            "service": SERVICE,
+            "timeout_ms": 5_000,
+            "target_latency_ms": 60,
+            "max_attempts": 2,
+            "extension": 1.6,
+        }
+        document = {"version": version, "routes": [route], "services": [{"name": SERVICE}]}
+        url = f"http://{self.control}/foldloom/config"
+        return (await self._call("PUT", url, document)).status == 200
+
+    async def submit(self, entry: str, number: int, body: Any, deadline_ms: int = 4_000) -> Answer:
+        """Hand a job in and return its answer."""
+        return await self.submit_text(entry, job_id(number), body, deadline_ms)
+
+    async def submit_text(
+        self, entry: str, text: str, body: Any, deadline_ms: int = 4_000
+    ) -> Answer:
+        """Hand a job in under an id that may be wrong; a body of bytes is sent as it is."""
+        url = f"http://{self.address(entry, 'front')}{_PREFIX}{text}"
+        headers = {"Host": _HOST, "X-Foldloom-Deadline-Ms": str(deadline_ms)}
+        return await self._call("POST", url, body, headers)
+
+    async def until(self, condition: Callable[[], Awaitable[bool]], what: str) -> None:
+        """Wait for *condition*; fail when it does not come true in time."""
+        deadline = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline:
+            if await condition():
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"not within {_WAIT_S} s: {what}")
+
+    async def _is_ready(self, name: str) -> bool:
+        url = f"http://{self.address(name, 'ready')}/foldloom/readyz"
+        return (await self._call("GET", url)).status == 200
+
+    async def _serves(self) -> bool:
+        answers = [
+            await self.submit(name, 2**60 + number, steps(), 500)
+            for number, name in enumerate(self.entries)
+        ]
+        return all(answer.status == 200 for answer in answers)
+
+    async def _call(
+        self, method: str, url: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> Answer:
+        data = body if isinstance(body, bytes) or body is None else msgspec.json.encode(body)
+        assert self._session is not None
+        began = time.monotonic()
+        try:
+            async with self._session.request(method, url, data=data, headers=headers) as response:
+                content = await response.read()
+        except (ClientError, TimeoutError, OSError):
+            return Answer(0, {}, (time.monotonic() - began) * 1_000)
+        took_ms = (time.monotonic() - began) * 1_000
+        fields = msgspec.json.decode(content) if content.startswith(b"{") else {}
+        return Answer(response.status, fields, took_ms)
+
+    def _claims(self, name: str) -> list[str]:
+        return [line for line in self.log_of(name).splitlines() if " with token " in line]
+
+    def _settings(self, name: str, is_first: bool) -> str:
+        ip, peer = self._ips[name], self._ports["peer"]
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{ip}"',
+            f'zone = "{_ZONE}"',
+            f"internal_ports = [{peer}, {peer}]",
+            f'seed_nodes = ["{self.control}"]',
+            f"bootstrap = {str(is_first).lower()}",
+        ]
+        if name.startswith("c"):
+            lines.append(f'data_dir = "{self._folder / name}"')
+            listen = [f'control_plane = "{self.control}"']
+        else:
+            listen = [
+                f'frontend = "{self.address(name, "front")}"',
+                f'ready = "{self.address(name, "ready")}"',
+            ]
+        return "\n".join([*lines, "[listen]", *listen, "[bounds]", "grace_s = 6", ""])
+
+
+def play(scenario: Callable[[PlatformSystem], Awaitable[None]], folder: Path, **sizes: int) -> None:
+    """Start a system and play *scenario* on it; no task may ever be on two workers."""
+
+    async def run() -> None:
+        async with PlatformSystem(folder, **sizes) as system:
+            await scenario(system)
+            assert not system.sightings.doubled
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/standins/run_worker.py
@@ -0,0 +1,194 @@
+# SPDX-License-Identifier: MIT
+"""A worker stand-in that speaks the platform's runs, holds, leases and fences.
+
+It serves in the test's own event loop, so that a test can look at what ran where. A task's text
+is ``{"ms": N}``: it takes so long; ``{"how": "failed"}`` makes it end so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import Counter
+from typing import Any
+
+import msgspec
+from aiohttp import ClientError, ClientSession, web
+
+from bodies import task_of, task_text
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.workers.calls import CallOutcome, EndKind
+from models.worker_world import SimulatedWorker
+
+SERVICE = "svc"
+CAPACITY = {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}
+_BEAT_S = 0.3
+_LAPSE_S = 0.005
+_CLOCK_RATE = 0.98
+_REASONS = {
+    CallOutcome.FENCED: "fence",
+    CallOutcome.OLD_RUN: "old",
+    CallOutcome.LATE: "late",
+}
+
+
+def _now_ms() -> float:
+    return time.monotonic() * 1_000
+
+
+class Sightings:
+    """What all workers of a test have run: starts by task, and tasks seen on two at a time."""
+
+    def __init__(self) -> None:
+        self.starts: Counter[TaskId] = Counter()
+        self.doubled: list[TaskId] = []
+        self.workers: list[RunWorker] = []
+
+    def note_start(self, task: TaskId) -> None:
+        """Note a start and look where else the task runs."""
+        self.starts[task] += 1
+        if sum(task in worker.simulated.active for worker in self.workers) > 1:
+            self.doubled.append(task)
+
+
+class RunWorker:
+    """One worker.
+
+    Args:
+        name: Its id.
+        host: Where it listens.
+        port: Its port.
+        zone: Its zone.
+        sightings: Where starts are noted.
+    """
+
+    def __init__(self, name: str, host: str, port: int, zone: str, sightings: Sightings) -> None:
+        self.name = name
+        self.simulated = SimulatedWorker(name, _CLOCK_RATE)
+        self.state = "ready"
+        self.is_silent = False
+        self.is_draining_known = False
+        self.starts_after_draining = 0
+        self._address = (host, port)
+        self._zone = zone
+        self._sightings = sightings
+        self._has_end = asyncio.Event()
+        self._is_stopped = asyncio.Event()
+        self._sequence = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runner: web.ServerRunner | None = None
+        sightings.workers.append(self)
+
+    async def start(self, controllers: list[str]) -> None:
+        """Listen, and report to the *controllers* in turn."""
+        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, *self._address).start()
+        self._tasks.append(asyncio.create_task(self._lapse()))
+        self._tasks.append(asyncio.create_task(self._beat(controllers)))
+
+    async def stop(self) -> None:
+        """End it."""
+        self._is_stopped.set()
+        for task in self._tasks:
+            task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _beat(self, controllers: list[str]) -> None:
+        async with ClientSession() as session:
+            while True:
+                self._sequence += 1
+                await self._report(session, controllers[self._sequence % len(controllers)])
+                await asyncio.sleep(_BEAT_S)
+
+    async def _report(self, session: ClientSession, controller: str) -> None:
+        state = self.state
+        report = {
+            "service": SERVICE,
+            "address": f"{self._address[0]}:{self._address[1]}",
+            "zone": self._zone,
+            "state": state,
+            "capacity": CAPACITY,
+            "call_seq": self._sequence,
+        }
+        url = f"http://{controller}/foldloom/instances/{self.name}"
+        try:
+            async with session.put(url, json=report) as response:
+                is_known = response.status == 200
+        except ClientError:
+            return
+        if is_known and state == "draining":
+            self.is_draining_known = True
+
+    async def _lapse(self) -> None:
+        while True:
+            self.simulated.lapse(_now_ms())
+            await asyncio.sleep(_LAPSE_S)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.is_silent:
+            await self._is_stopped.wait()
+        if request.headers.get("X-Foldloom-Expected-Instance") != self.name:
+            return web.Response(status=421)
+        body = msgspec.json.decode(await request.read())
+        match request.path:
+            case "/foldloom/run-start":
+                return self._start(body)
+            case "/foldloom/run-stop":
+                return self._stop(body)
+            case "/foldloom/hold":
+                return await self._hold(body)
+        return web.Response(status=404)
+
+    def _start(self, body: dict[str, Any]) -> web.Response:
+        run_id = RunId(task_of(body["task"]), body["run_id"])
+        is_new = run_id.task not in self.simulated.active
+        outcome = self.simulated.start(run_id, body["fencing_token"], body["until_ms"], _now_ms())
+        if outcome is not CallOutcome.DONE:
+            return self._answer(409, reason=_REASONS[outcome])
+        if is_new:
+            self._sightings.note_start(run_id.task)
+            self.starts_after_draining += self.is_draining_known
+            spec = msgspec.json.decode(body["spec"])
+            how = EndKind(spec.get("how", "done"))
+            loop = asyncio.get_running_loop()
+            loop.call_later(spec.get("ms", 1) / 1_000, self._finish, run_id, how)
+        return self._answer(200)
+
+    def _finish(self, run_id: RunId, how: EndKind) -> None:
+        if self.simulated.active.get(run_id.task) == run_id.run:
+            self.simulated.finish(run_id.task, how, _now_ms())
+        self._has_end.set()
+
+    def _stop(self, body: dict[str, Any]) -> web.Response:
+        run_id = RunId(task_of(body["task"]), body["run_id"])
+        outcome = self.simulated.stop(run_id, body["fencing_token"], _now_ms())
+        self._has_end.set()
+        if outcome is CallOutcome.DONE:
+            return self._answer(200)
+        return self._answer(409, reason=_REASONS[outcome])
+
+    async def _hold(self, body: dict[str, Any]) -> web.Response:
+        token, seen = body["fencing_token"], body["last_seen"]
+        look = self.simulated.look(token, seen, body.get("until_ms", 0), _now_ms())
+        if look.outcome is CallOutcome.DONE and not look.ended and body.get("wait_ms"):
+            self._has_end.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._has_end.wait(), body["wait_ms"] / 1_000)
+            look = self.simulated.look(token, seen, 0, _now_ms())
+        if look.outcome is not CallOutcome.DONE:
+            return self._answer(409, reason=_REASONS[look.outcome])
+        active = [[task_text(one.run_id.task), one.run_id.run, "", 100] for one in look.active]
+        ended = [
+            [end.number, task_text(end.run_id.task), end.run_id.run, end.how.value, ""]
+            for end in look.ended
+        ]
+        return self._answer(200, active=active, finished=ended)
+
+    def _answer(self, status: int, **fields: Any) -> web.Response:
+        fields["clock_ms"] = self.simulated.clock(_now_ms())
+        return web.Response(
+            status=status, body=msgspec.json.encode(fields), content_type="application/json"
+        )
--- /dev/null
+++ b/tests/test_platform_system.py
@@ -0,0 +1,235 @@
+# SPDX-License-Identifier: MIT
+"""The platform's programs end to end: jobs, bad input, lost owners, dark controllers, stops."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from platform_system import Answer, PlatformSystem, job_id, play, steps
+
+_OWNER_LOST_MS = 3_000
+
+
+def _bad(**changes: Any) -> dict[str, Any]:
+    body = steps()
+    body["phases"][0] |= changes
+    return body
+
+
+class TestServing:
+    """Jobs on a calm system."""
+
+    def test_each_task_runs_once(self, tmp_path: Path) -> None:
+        """Jobs at all entry processes are completed, each task by one start."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            answers = await asyncio.gather(
+                *(
+                    system.submit(system.entries[number % 3], number, steps(2))
+                    for number in range(12)
+                )
+            )
+            assert [answer.fields.get("state") for answer in answers] == ["completed"] * 12
+            ours = {
+                task: count
+                for task, count in system.sightings.starts.items()
+                if int(task.job_id, 16) < 12
+            }
+            assert len(ours) == 24
+            assert set(ours.values()) == {1}
+
+        play(scenario, tmp_path)
+
+    def test_same_id_at_two_entries(self, tmp_path: Path) -> None:
+        """The same job at two entry processes at once never runs beside itself."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            body = steps(2, ms=300)
+            answers = await asyncio.gather(*(system.submit(e, 1, body) for e in system.entries))
+            assert {answer.fields.get("state") for answer in answers} == {"completed"}
+
+        play(scenario, tmp_path)
+
+    def test_failing_task(self, tmp_path: Path) -> None:
+        """A task that fails as often as it may fails its job."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            answer = await system.submit("e0", 1, steps(1, how="failed"))
+            assert (answer.status, answer.fields) == (200, {"state": "failed"})
+            starts = sum(
+                count for task, count in system.sightings.starts.items() if task.job_id == job_id(1)
+            )
+            assert starts == 2
+
+        play(scenario, tmp_path)
+
+    def test_draining_worker(self, tmp_path: Path) -> None:
+        """Once a heartbeat that says draining is answered, nothing new starts there."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            system.workers[0].state = "draining"
+            for number in range(200):
+                answer = await system.submit(system.entries[number % 3], number, steps(2, ms=5))
+                assert answer.status == 200
+            assert system.workers[0].is_draining_known
+            assert system.workers[0].starts_after_draining == 0
+
+        play(scenario, tmp_path)
+
+
+class TestBadInput:
+    """What is wrong is refused with the field's name, and nothing of it runs."""
+
+    @pytest.mark.parametrize(
+        ("text", "body", "named"),
+        [
+            ("1" * 15, steps(), "id"),
+            ("G" * 16, steps(), "id"),
+            ("1" * 16, b'{"spec":"x","phases":[{"cou', ""),
+            ("1" * 16, {**steps(), "spec": "x" * 4_001}, "spec"),
+            ("1" * 16, {**steps(), "phases": []}, "phases"),
+            ("1" * 16, _bad(count=0), "count"),
+            ("1" * 16, _bad(count=1_000_000), "count"),
+            ("1" * 16, _bad(cpu=-1), "cpu"),
+            ("1" * 16, _bad(depends_on=[0]), "depends_on"),
+            ("1" * 16, _bad(depends_on=[7]), "depends_on"),
+            ("1" * 16, b'{"spec":"x","spec":"y","phases":[{"count":1}]}', "spec"),
+            ("1" * 16, b'{"spec":"x","phases":[{"count":1,"cpu":1,"count":2}]}', "count"),
+        ],
+    )
+    def test_refused(self, calm: _Calm, text: str, body: Any, named: str) -> None:
+        """A 4xx that names the field."""
+        answer = calm.submit(text, body)
+        assert 400 <= answer.status < 500, answer
+        assert named in answer.fields["error"], answer
+        assert not any(task.job_id == text for task in calm.system.sightings.starts)
+
+    def test_oversized(self, calm: _Calm) -> None:
+        """A body beyond the bound is refused."""
+        assert calm.submit("1" * 16, b" " * 2_000_000).status == 413
+
+
+class _Calm:
+    """A system that is not disturbed, shared by tests of what it refuses."""
+
+    def __init__(self, folder: Path) -> None:
+        self._runner = asyncio.Runner()
+        self.system = PlatformSystem(folder, entries=1, workers=1)
+        self._runner.run(self.system.__aenter__())
+
+    def submit(self, text: str, body: Any) -> Answer:
+        """Hand a job in."""
+        return self._runner.run(self.system.submit_text("e0", text, body))
+
+    def stop(self) -> None:
+        """End it."""
+        self._runner.run(self.system.__aexit__())
+        self._runner.close()
+
+
+@pytest.fixture(scope="module")
+def calm(tmp_path_factory: pytest.TempPathFactory) -> Any:
+    """Give a system that is not disturbed."""
+    shared = _Calm(tmp_path_factory.mktemp("calm"))
+    yield shared
+    shared.stop()
+
+
+class TestLostOwner:
+    """The owner of the zone dies or freezes: another one goes on, and nothing runs twice."""
+
+    @pytest.mark.parametrize("how", ["kill", "freeze"])
+    def test_another_takes_over(self, tmp_path: Path, how: str) -> None:
+        """Jobs at the other entry processes are completed within a few seconds."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            owner = system.owner()
+            others = [name for name in system.entries if name != owner]
+            running = [
+                asyncio.create_task(system.submit(others[number % 2], number, steps(2, ms=400)))
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.1)
+            if how == "kill":
+                await system.kill(owner)
+            else:
+                system.freeze(owner)
+            late = [
+                asyncio.create_task(system.submit(others[number % 2], number, steps(2, ms=400)))
+                for number in range(10, 16)
+            ]
+            answers = await asyncio.gather(*running, *late)
+            if how == "freeze":
+                system.thaw(owner)
+                await asyncio.sleep(1.0)
+            assert [answer.status for answer in answers] == [200] * 12
+            assert max(answer.took_ms for answer in answers) < _OWNER_LOST_MS
+
+        play(scenario, tmp_path)
+
+
+class TestDarkControllers:
+    """Controllers are not on the path of a job that need not be kept."""
+
+    def test_served_without(self, tmp_path: Path) -> None:
+        """With the controller dead, jobs are completed; its return changes nothing."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            await system.kill("c0")
+            for number in range(20):
+                answer = await system.submit(system.entries[number % 3], number, steps(2))
+                assert answer.status == 200
+            await system.start("c0")
+            assert (await system.submit("e0", 99, steps())).status == 200
+            await system.until(lambda: system.configure(2), "the next version is acknowledged")
+
+        play(scenario, tmp_path)
+
+
+class TestPlannedStop:
+    """SIGTERM cuts nothing."""
+
+    def test_jobs_in_flight_are_answered(self, tmp_path: Path) -> None:
+        """Every entry process is stopped in turn while busy; each job gets its answer."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            running = []
+            for stopped, name in enumerate(system.entries[:2]):
+                running += [
+                    asyncio.create_task(
+                        system.submit(name, 100 * stopped + number, steps(2, ms=600))
+                    )
+                    for number in range(4)
+                ]
+                await asyncio.sleep(0.1)
+                system.processes[name].send_signal(signal.SIGTERM)
+            answers = await asyncio.gather(*running)
+            assert [answer.status for answer in answers] == [200] * 8
+            codes = [await system.processes[name].wait() for name in system.entries[:2]]
+            assert codes == [0, 0]
+
+        play(scenario, tmp_path)
+
+
+class TestLostWorker:
+    """A worker that falls silent keeps its tasks until its lease is over, and not longer."""
+
+    def test_its_tasks_run_elsewhere(self, tmp_path: Path) -> None:
+        """Tasks on a silent worker are started again on another one."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            running = [
+                asyncio.create_task(system.submit("e0", number, steps(4, ms=300)))
+                for number in range(4)
+            ]
+            await asyncio.sleep(0.1)
+            system.workers[0].is_silent = True
+            answers = await asyncio.gather(*running)
+            assert [answer.status for answer in answers] == [200] * 4
+
+        play(scenario, tmp_path)
