--- a/benchmarks/zone_sim.py
+++ b/benchmarks/zone_sim.py
@@ -45,7 +45,7 @@
 from foldloom.workers.records import WorkerRecord
 
 ZONES = ("a", "b", "c")
-_HOLDER = HolderId("node", 1)
+_HOLDER = HolderId("box", 1)
 _ORDER_MS = 1.2
 _REPORT_MS = 0.8
 _HOP_MS = 0.8
--- /dev/null
+++ b/src/foldloom/boxes/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: MIT
+"""The boxes of an open network, put together."""
--- a/src/foldloom/nodes/controller.py
+++ b/src/foldloom/boxes/controller.py
@@ -17,7 +17,7 @@
 from foldloom.controllers.storage import format_folder
 from foldloom.fleet.cache import PublicationCache
 from foldloom.fleet.joiner import Joiner
-from foldloom.fleet.messages import NodeRecord
+from foldloom.fleet.messages import BoxRecord
 from foldloom.fleet.published import PublishedHolder
 from foldloom.fleet.publisher import Publisher
 from foldloom.fleet.registry import Registry
@@ -36,16 +36,16 @@
     """Everything that runs on a controller, but its HTTP.
 
     Args:
-        settings: This node's settings.
+        settings: This box's settings.
         is_first_start: Whether the whole system starts for the first time; the seeds found it.
-        label: What people call this node.
+        label: What people call this box.
     """
 
     def __init__(self, settings: Settings, is_first_start: bool, label: str = "") -> None:
         self._settings = settings
         self._metrics = Metrics(settings.statsd)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
-        own = NodeRecord(settings.box, self._network.incarnation, settings.zone, CONTROLLER, label)
+        own = BoxRecord(settings.box, self._network.incarnation, settings.zone, CONTROLLER, label)
         self._view = FleetView(own, settings.seeds)
         cache = PublicationCache(settings.data_folder)
         self._holder = PublishedHolder(self._network, self._on_publication, cache)
@@ -70,7 +70,7 @@
 
     @property
     def metrics(self) -> Metrics:
-        """This node's counters."""
+        """This box's counters."""
         return self._metrics
 
     @property
--- a/src/foldloom/nodes/entry.py
+++ b/src/foldloom/boxes/entry.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""An entry node of an open network: it takes jobs, and may own its zone's workers."""
+"""An entry box of an open network: it takes jobs, and may own its zone's workers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from foldloom.controllers.state import Publication
 from foldloom.entry.job_runner import JobDesk, JobResult
 from foldloom.fleet.joiner import Joiner
-from foldloom.fleet.messages import NodeRecord, OwnerBeat, OwnerRecord
+from foldloom.fleet.messages import BoxRecord, OwnerBeat, OwnerRecord
 from foldloom.fleet.published import PublishedHolder
 from foldloom.fleet.view import FleetView
 from foldloom.ids import new_incarnation
@@ -31,14 +31,14 @@
 ReadQueues = Callable[[Publication], QueueTable]
 
 
-class EntryNode:
-    """Everything that runs on an entry node, but its HTTP.
+class EntryBox:
+    """Everything that runs on an entry box, but its HTTP.
 
     Args:
-        settings: This node's settings.
+        settings: This box's settings.
         calls: How workers are called.
         read_queues: Returns the queues that a published document names.
-        label: What people call this node.
+        label: What people call this box.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         self._queues: QueueTable | None = None
         self._metrics = Metrics(settings.statsd)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
-        own = NodeRecord(
+        own = BoxRecord(
             settings.box, self._network.incarnation, settings.zone, ENTRY, label or settings.box
         )
         self._view = FleetView(own, settings.seeds)
@@ -75,7 +75,7 @@
 
     @property
     def metrics(self) -> Metrics:
-        """This node's counters."""
+        """This box's counters."""
         return self._metrics
 
     @property
@@ -91,7 +91,7 @@
         self._spawn(self._joiner.run())
         self._spawn(self._elector.run())
         self._spawn(self._client.run())
-        ENTRY_LOG.info("Entry node {} of zone {} is up.", self._view.own.label, self._view.own.zone)
+        ENTRY_LOG.info("Entry box {} of zone {} is up.", self._view.own.label, self._view.own.zone)
 
     async def run_job(self, job: Job, queue: Queue, timeout_ms: float) -> JobResult:
         """Run *job* and return its result, at the latest after *timeout_ms*."""
@@ -138,7 +138,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._network.stop()
-        ENTRY_LOG.info("Entry node {} has stopped.", self._view.own.label)
+        ENTRY_LOG.info("Entry box {} has stopped.", self._view.own.label)
 
     def _on_publication(self, publication: Publication) -> None:
         self._queues = self._read_queues(publication)
@@ -147,7 +147,7 @@
     def _on_beat(self, beat: OwnerBeat) -> None:
         self._client.hear_beat(beat, self._holder.version)
         if beat.published_version > self._holder.version:
-            self._spawn(self._holder.catch_up(beat.owner.node, beat.published_version))
+            self._spawn(self._holder.catch_up(beat.owner.box, beat.published_version))
 
     def _make_owner(self, record: OwnerRecord) -> ZoneOwner:
         return ZoneOwner(
--- a/src/foldloom/entry/job_runner.py
+++ b/src/foldloom/entry/job_runner.py
@@ -186,7 +186,7 @@
 
 
 class JobDesk:
-    """The jobs that this node runs now; the same id joins the one that runs.
+    """The jobs that this box runs now; the same id joins the one that runs.
 
     Args:
         client: The way to the owner.
--- a/src/foldloom/fleet/__init__.py
+++ b/src/foldloom/fleet/__init__.py
@@ -1,2 +1,2 @@
 # SPDX-License-Identifier: MIT
-"""Which nodes there are, found through seeds, and what all of them must know."""
+"""Which boxes there are, found through seeds, and what all of them must know."""
--- a/src/foldloom/fleet/joiner.py
+++ b/src/foldloom/fleet/joiner.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""How a node stays in touch with every controller: one task for each."""
+"""How a box stays in touch with every controller: one task for each."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Joiner:
-    """Tell every controller of this node and learn what it knows.
+    """Tell every controller of this box and learn what it knows.
 
     Args:
         network: The peers.
@@ -48,7 +48,7 @@
 
     def heard_since(self, since_ms: float) -> list[str]:
         """Return the controllers that answered after *since_ms*."""
-        return [node for node, heard in self._heard_ms.items() if heard > since_ms]
+        return [box for box, heard in self._heard_ms.items() if heard > since_ms]
 
     async def run(self) -> None:
         """Keep one task for each known controller until cancelled."""
@@ -62,50 +62,50 @@
 
     async def tell_all(self) -> None:
         """Tell every controller now, once; used when a planned stop begins."""
-        await asyncio.gather(*(self._join(node, 0, 0) for node in self._view.controllers))
+        await asyncio.gather(*(self._join(box, 0, 0) for box in self._view.controllers))
 
     def _follow_controllers(self) -> None:
         wanted = set(self._view.controllers)
-        for node in wanted - set(self._tasks):
-            self._tasks[node] = asyncio.create_task(self._stay_joined(node))
-        for node in set(self._tasks) - wanted:
-            self._tasks.pop(node).cancel()
-            self._heard_ms.pop(node, None)
-            self._network.drop_peer(node)
-
-    async def _stay_joined(self, node: str) -> None:
+        for box in wanted - set(self._tasks):
+            self._tasks[box] = asyncio.create_task(self._stay_joined(box))
+        for box in set(self._tasks) - wanted:
+            self._tasks.pop(box).cancel()
+            self._heard_ms.pop(box, None)
+            self._network.drop_peer(box)
+
+    async def _stay_joined(self, box: str) -> None:
         """Join one controller again and again."""
         life, revision = 0, 0
         failures = 0
         while True:
             began_ms = monotonic_ms()
-            reply = await self._join(node, life, revision)
+            reply = await self._join(box, life, revision)
             if reply is None:
                 failures += 1
                 if failures == _LOST_AFTER:
-                    PEER_LOG.warning("Controller {} does not answer.", node)
+                    PEER_LOG.warning("Controller {} does not answer.", box)
             else:
                 if failures >= _LOST_AFTER:
-                    PEER_LOG.info("Controller {} answers again.", node)
+                    PEER_LOG.info("Controller {} answers again.", box)
                 failures = 0
                 life, revision = reply.catalog_life, reply.catalog_revision
             spent_ms = monotonic_ms() - began_ms
             await asyncio.sleep(max(0.0, self._interval_ms - spent_ms) / 1_000)
 
-    async def _join(self, node: str, life: int, revision: int) -> JoinReply | None:
+    async def _join(self, box: str, life: int, revision: int) -> JoinReply | None:
         message = Join(self._view.own, self._holder.version, life, revision)
         try:
-            reply: JoinReply = await self._network.ask(node, message, self._interval_ms)
+            reply: JoinReply = await self._network.ask(box, message, self._interval_ms)
         except PeerUnreachableError:
             return None
         now_ms = monotonic_ms()
-        self._heard_ms[node] = now_ms
-        for lost in self._view.hear_controller(node, reply, now_ms):
-            CONFIG_LOG.info("Node {} is gone.", lost)
+        self._heard_ms[box] = now_ms
+        for lost in self._view.hear_controller(box, reply, now_ms):
+            CONFIG_LOG.info("Box {} is gone.", lost)
             self._network.drop_peer(lost)
         self._merge(reply.workers)
         if reply.published_version > self._holder.version:
-            await self._holder.catch_up(node, reply.published_version)
+            await self._holder.catch_up(box, reply.published_version)
         return reply
 
     def _on_workers(self, _sender: str, message: WorkersSeen) -> Noted:
--- a/src/foldloom/fleet/messages.py
+++ b/src/foldloom/fleet/messages.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Messages by which the nodes of an open network find each other and share what all need."""
+"""Messages by which the boxes of an open network find each other and share what all need."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 from foldloom.workers.records import WorkerRecord
 
 
-class NodeRecord(NamedTuple):
-    """A node as it describes itself.
+class BoxRecord(NamedTuple):
+    """A box as it describes itself.
 
     Args:
-        node: Its name: the address of its peer socket.
+        box: Its name: the address of its peer socket.
         life: Its present life.
         zone: Its zone.
         role: ``entry`` or ``controller``.
@@ -22,7 +22,7 @@
         is_leaving: Whether a planned stop began.
     """
 
-    node: str
+    box: str
     life: int
     zone: str
     role: str
@@ -36,27 +36,27 @@
     Args:
         zone: The zone.
         token: The fencing token; the highest one holds. 0: nobody is known.
-        node: The owner.
+        box: The owner.
         life: The owner's life.
     """
 
     zone: str
     token: int = 0
-    node: str = ""
+    box: str = ""
     life: int = 0
 
 
 class Join(NamedTuple):
-    """A node tells a controller that it lives, and how much it knows.
+    """A box tells a controller that it lives, and how much it knows.
 
     Args:
-        record: The node.
+        record: The box.
         published_version: The version of the published configuration in force there.
         catalog_life: The life of the controller whose catalog it has read.
         catalog_revision: Up to which revision.
     """
 
-    record: NodeRecord
+    record: BoxRecord
     published_version: int
     catalog_life: int
     catalog_revision: int
@@ -67,7 +67,7 @@
 
     Args:
         controllers: Addresses of all controllers.
-        nodes: The live entry nodes.
+        boxes: The live entry boxes.
         owners: Who owns which zone's workers.
         published_version: The newest published version known there.
         catalog_life: This controller's life.
@@ -76,7 +76,7 @@
     """
 
     controllers: list[str]
-    nodes: list[NodeRecord]
+    boxes: list[BoxRecord]
     owners: list[OwnerRecord]
     published_version: int
     catalog_life: int
@@ -101,7 +101,7 @@
 
 
 class PullPublished(NamedTuple):
-    """A node asks for what is published above version ``have``."""
+    """A box asks for what is published above version ``have``."""
 
     have: int
 
@@ -136,45 +136,45 @@
 
     Args:
         owner: The owner.
-        record: The owner as a node.
+        record: The owner as a box.
         sent_ms: Its steady clock at sending; sent back in an echo.
         published_version: The published version in force there.
         load: How loaded its zone is.
     """
 
     owner: OwnerRecord
-    record: NodeRecord
+    record: BoxRecord
     sent_ms: int
     published_version: int = 0
     load: ZoneLoad = ZoneLoad()
 
 
 class Echo(NamedTuple):
-    """A node grants an owner the right to run its tasks for a while.
+    """A box grants an owner the right to run its tasks for a while.
 
     The right lasts for the session time from ``beat_ms`` on, by the owner's clock.
 
     Args:
-        token: The owner's token that the node knows as the highest.
+        token: The owner's token that the box knows as the highest.
         beat_ms: The sending time in the beat that this answers.
-        record: The node.
+        record: The box.
         published_version: The published version in force there.
     """
 
     token: int
     beat_ms: int
-    record: NodeRecord
+    record: BoxRecord
     published_version: int = 0
 
 
 class HigherToken(NamedTuple):
-    """A node tells an owner that another one has a higher token."""
+    """A box tells an owner that another one has a higher token."""
 
     owner: OwnerRecord
 
 
 class OwnerQuery(NamedTuple):
-    """A node that does not hear its zone's owner asks who does."""
+    """A box that does not hear its zone's owner asks who does."""
 
     zone: str
 
@@ -187,7 +187,7 @@
 
 
 class TakeOver(NamedTuple):
-    """An owner that is stopped as planned hands its zone to another node."""
+    """An owner that is stopped as planned hands its zone to another box."""
 
     owner: OwnerRecord
 
--- a/src/foldloom/fleet/published.py
+++ b/src/foldloom/fleet/published.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""The published configuration in force on this node: it only rises."""
+"""The published configuration in force on this box: it only rises."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 
 class PublishedHolder:
-    """Hold the newest publication that this node has seen committed.
+    """Hold the newest publication that this box has seen committed.
 
     Args:
         network: The peers.
         on_change: Called with each newer publication, after it is held.
-        cache: Where to keep it over a restart; ``None`` on a node without a disk.
+        cache: Where to keep it over a restart; ``None`` on a box without a disk.
     """
 
     def __init__(
@@ -58,19 +58,19 @@
         if self._cache is not None:
             self._cache.write_soon(publication)
 
-    async def catch_up(self, node: str, version: int) -> None:
-        """Pull from *node* if it has a newer *version* in force."""
-        if version <= self.version or node in self._pulling_from:
+    async def catch_up(self, box: str, version: int) -> None:
+        """Pull from *box* if it has a newer *version* in force."""
+        if version <= self.version or box in self._pulling_from:
             return
-        self._pulling_from.add(node)
+        self._pulling_from.add(box)
         try:
             pull = PullPublished(self.version)
-            reply: Published = await self._network.ask(node, pull, _PULL_TIMEOUT_MS)
+            reply: Published = await self._network.ask(box, pull, _PULL_TIMEOUT_MS)
             self.adopt(reply.publication)
         except PeerUnreachableError:
             return
         finally:
-            self._pulling_from.discard(node)
+            self._pulling_from.discard(box)
 
     def _on_published(self, _sender: str, message: Published) -> Noted:
         self.adopt(message.publication)
--- a/src/foldloom/fleet/registry.py
+++ b/src/foldloom/fleet/registry.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
-"""A controller's soft state: the nodes that joined, the workers heard, who owns which zone.
+"""A controller's soft state: the boxes that joined, the workers heard, who owns which zone.
 
-Nothing here is kept on disk or agreed upon: every controller hears the nodes itself, and
+Nothing here is kept on disk or agreed upon: every controller hears the boxes itself, and
 workers report to any of them, which passes their words on at once.
 """
 
@@ -14,9 +14,9 @@
 from foldloom.controllers.state import Publication
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.fleet.messages import (
+    BoxRecord,
     Join,
     JoinReply,
-    NodeRecord,
     OwnerAnswer,
     OwnerBeat,
     OwnerQuery,
@@ -39,9 +39,9 @@
 
 
 class _Joined(NamedTuple):
-    """A node that joined, and when it was heard."""
+    """A box that joined, and when it was heard."""
 
-    record: NodeRecord
+    record: BoxRecord
     heard_ms: float
 
 
@@ -84,28 +84,28 @@
         return self._catalog
 
     async def run(self) -> None:
-        """Forget nodes and workers that fell silent, until cancelled."""
+        """Forget boxes and workers that fell silent, until cancelled."""
         while True:
             await asyncio.sleep(_TIDY_S)
             now_ms = monotonic_ms()
-            for node in [
-                node for node, known in self._joined.items() if now_ms - known.heard_ms > _FORGET_MS
+            for box in [
+                box for box, known in self._joined.items() if now_ms - known.heard_ms > _FORGET_MS
             ]:
-                del self._joined[node]
-                if node not in self._controllers():
-                    self._network.drop_peer(node)
+                del self._joined[box]
+                if box not in self._controllers():
+                    self._network.drop_peer(box)
             for worker in self._catalog.silent_since(now_ms - _WORKER_SILENT_MS):
                 self._catalog.forget(worker)
 
     def push(self, publication: Publication) -> None:
-        """Send a newer publication to every live entry node at once."""
+        """Send a newer publication to every live entry box at once."""
         for record in self._live_entries():
-            self._spawn(self._tell(record.node, Published(publication)))
+            self._spawn(self._tell(record.box, Published(publication)))
 
     async def note_worker(self, record: WorkerRecord) -> None:
         """Take a worker's heartbeat; what it changes is known in its zone when this returns.
 
-        A zone's nodes that can't be reached learn it by their next join.
+        A zone's boxes that can't be reached learn it by their next join.
         """
         now_ms = monotonic_ms()
         if not self._catalog.merge(record, now_ms):
@@ -132,7 +132,7 @@
 
     async def _tell_zone(self, record: WorkerRecord) -> None:
         told = [
-            self._tell(entry.node, WorkersSeen([record]))
+            self._tell(entry.box, WorkersSeen([record]))
             for entry in self._live_entries()
             if entry.zone == record.zone
         ]
@@ -143,29 +143,29 @@
             return
         await asyncio.gather(*told)
 
-    async def _tell(self, node: str, message: object) -> None:
+    async def _tell(self, box: str, message: object) -> None:
         try:
-            await self._network.ask(node, message, _TELL_TIMEOUT_MS)
+            await self._network.ask(box, message, _TELL_TIMEOUT_MS)
         except PeerUnreachableError:
             return
 
     def live_controllers(self) -> list[str]:
         """Return the controllers that joined here and are live."""
-        return [record.node for record in self._live() if record.role == CONTROLLER]
+        return [record.box for record in self._live() if record.role == CONTROLLER]
 
-    def _live(self) -> list[NodeRecord]:
+    def _live(self) -> list[BoxRecord]:
         now_ms = monotonic_ms()
         return [
             known.record for known in self._joined.values() if now_ms - known.heard_ms < _LIVE_MS
         ]
 
-    def _live_entries(self) -> list[NodeRecord]:
+    def _live_entries(self) -> list[BoxRecord]:
         return [record for record in self._live() if record.role == ENTRY]
 
     def _on_join(self, _sender: str, message: Join) -> JoinReply:
         record = message.record
         now_ms = monotonic_ms()
-        self._joined[record.node] = _Joined(record, now_ms)
+        self._joined[record.box] = _Joined(record, now_ms)
         life = self._network.incarnation
         known_revision = message.catalog_revision if message.catalog_life == life else 0
         workers = [
@@ -175,7 +175,7 @@
         ]
         return JoinReply(
             controllers=self._controllers(),
-            nodes=self._live_entries(),
+            boxes=self._live_entries(),
             owners=[known.owner for known in self._owners.values()],
             published_version=self._holder.version,
             catalog_life=life,
--- a/src/foldloom/fleet/view.py
+++ b/src/foldloom/fleet/view.py
@@ -1,11 +1,11 @@
 # SPDX-License-Identifier: MIT
-"""What this node knows of the others: controllers, entry nodes by zone, owners of zones."""
+"""What this box knows of the others: controllers, entry boxes by zone, owners of zones."""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-from foldloom.fleet.messages import JoinReply, NodeRecord, OwnerRecord
+from foldloom.fleet.messages import BoxRecord, JoinReply, OwnerRecord
 from foldloom.settings import ENTRY
 
 _FORGET_MS = 20_000.0
@@ -20,34 +20,34 @@
 
 
 class FleetView:
-    """Nodes and owners, as controllers and other nodes tell of them.
+    """Boxes and owners, as controllers and other boxes tell of them.
 
     What was told stays known while the controllers are silent: a zone goes on without them.
 
     Args:
-        own: This node.
+        own: This box.
         seeds: Addresses of some controllers.
     """
 
-    def __init__(self, own: NodeRecord, seeds: list[str]) -> None:
+    def __init__(self, own: BoxRecord, seeds: list[str]) -> None:
         self._own = own
         self._seeds = list(seeds)
         self._lists: dict[str, _ControllerList] = {}
-        self._nodes: dict[str, NodeRecord] = {}
+        self._boxes: dict[str, BoxRecord] = {}
         self._told_ms: dict[str, float] = {}
         self._owners: dict[str, OwnerRecord] = {}
 
     @property
-    def own(self) -> NodeRecord:
-        """This node."""
+    def own(self) -> BoxRecord:
+        """This box."""
         return self._own
 
     @property
     def controllers(self) -> list[str]:
-        """All controllers known, this node excluded; the seeds until others are known."""
-        told = [node for known in self._lists.values() for node in known.controllers]
+        """All controllers known, this box excluded; the seeds until others are known."""
+        told = [box for known in self._lists.values() for box in known.controllers]
         known = dict.fromkeys([*told, *self._seeds])
-        return [node for node in known if node != self._own.node]
+        return [box for box in known if box != self._own.box]
 
     @property
     def is_informed(self) -> bool:
@@ -59,29 +59,29 @@
         self._seeds = list(seeds)
 
     def set_leaving(self) -> None:
-        """Note that a planned stop of this node began."""
+        """Note that a planned stop of this box began."""
         self._own = self._own._replace(is_leaving=True)
 
     def entries_of(self, zone: str) -> list[str]:
-        """Return the entry nodes of *zone*, this one included, in a fixed order."""
-        nodes = [
-            record.node
-            for record in [*self._nodes.values(), self._own]
+        """Return the entry boxes of *zone*, this one included, in a fixed order."""
+        boxes = [
+            record.box
+            for record in [*self._boxes.values(), self._own]
             if record.zone == zone and record.role == ENTRY
         ]
-        return sorted(set(nodes))
+        return sorted(set(boxes))
 
     @property
     def entries(self) -> list[str]:
-        """The entry nodes of all zones, this one included, in a fixed order."""
-        nodes = [
-            record.node for record in [*self._nodes.values(), self._own] if record.role == ENTRY
+        """The entry boxes of all zones, this one included, in a fixed order."""
+        boxes = [
+            record.box for record in [*self._boxes.values(), self._own] if record.role == ENTRY
         ]
-        return sorted(set(nodes))
+        return sorted(set(boxes))
 
-    def is_leaving(self, node: str) -> bool:
-        """Return whether a planned stop of *node* began, as far as known."""
-        record = self._own if node == self._own.node else self._nodes.get(node)
+    def is_leaving(self, box: str) -> bool:
+        """Return whether a planned stop of *box* began, as far as known."""
+        record = self._own if box == self._own.box else self._boxes.get(box)
         return record is not None and record.is_leaving
 
     def owner_of(self, zone: str) -> OwnerRecord:
@@ -98,27 +98,27 @@
         if owner.token > self.owner_of(owner.zone).token:
             self._owners[owner.zone] = owner
 
-    def hear_node(self, record: NodeRecord, now_ms: float) -> None:
-        """Note a node that spoke for itself or that a controller told of."""
-        if record.node == self._own.node:
+    def hear_box(self, record: BoxRecord, now_ms: float) -> None:
+        """Note a box that spoke for itself or that a controller told of."""
+        if record.box == self._own.box:
             return
-        known = self._nodes.get(record.node)
+        known = self._boxes.get(record.box)
         if known is not None and known.life == record.life and known.is_leaving:
             record = record._replace(is_leaving=True)
-        self._nodes[record.node] = record
-        self._told_ms[record.node] = now_ms
+        self._boxes[record.box] = record
+        self._told_ms[record.box] = now_ms
 
     def hear_controller(self, sender: str, reply: JoinReply, now_ms: float) -> list[str]:
-        """Take what *sender* knows; return the nodes that are known no longer."""
+        """Take what *sender* knows; return the boxes that are known no longer."""
         self._lists[sender] = _ControllerList(tuple(reply.controllers), now_ms)
-        for node, known in list(self._lists.items()):
+        for box, known in list(self._lists.items()):
             if now_ms - known.told_ms > _LIST_KEPT_MS:
-                del self._lists[node]
-        for record in reply.nodes:
-            self.hear_node(record, now_ms)
+                del self._lists[box]
+        for record in reply.boxes:
+            self.hear_box(record, now_ms)
         for owner in reply.owners:
             self.hear_owner(owner)
-        lost = [node for node, told in self._told_ms.items() if now_ms - told > _FORGET_MS]
-        for node in lost:
-            del self._told_ms[node], self._nodes[node]
+        lost = [box for box, told in self._told_ms.items() if now_ms - told > _FORGET_MS]
+        for box in lost:
+            del self._told_ms[box], self._boxes[box]
         return lost
--- a/src/foldloom/nodes/__init__.py
+++ /dev/null
@@ -1,2 +0,0 @@
-# SPDX-License-Identifier: MIT
-"""The nodes of an open network, put together."""
--- a/src/foldloom/owners/batches.py
+++ b/src/foldloom/owners/batches.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Runs that an entry node has handed to an owner and that have not ended."""
+"""Runs that an entry box has handed to an owner and that have not ended."""
 
 from __future__ import annotations
 
--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""An entry node's side of the owners: which one gets a job's runs, and where their ends go."""
+"""An entry box's side of the owners: which one gets a job's runs, and where their ends go."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     """Talk to the owners of all zones, first of all to that of the own one.
 
     Args:
-        view: The other nodes.
+        view: The other boxes.
         network: The peers.
         timings: Intervals and bounds.
     """
--- a/src/foldloom/owners/election.py
+++ b/src/foldloom/owners/election.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
-"""When a node may claim its zone's workers, and with which token: decisions only.
+"""When a box may claim its zone's workers, and with which token: decisions only.
 
 Workers obey the highest token that they have seen, so two owners at a time do no harm; they
-only take workers from each other. The rules here keep that from happening: a node claims only
+only take workers from each other. The rules here keep that from happening: a box claims only
 when its owner has been silent, nobody whom it reaches hears the owner, and it reaches somebody
 at all.
 """
@@ -19,7 +19,7 @@
 
 
 class Witnesses(NamedTuple):
-    """What the other nodes say of an owner.
+    """What the other boxes say of an owner.
 
     Args:
         asked: How many were asked.
@@ -35,9 +35,9 @@
     highest_token: int
 
 
-def rank_of(node: str, candidates: list[str]) -> int:
-    """Return the place of *node* in the order in which candidates step in."""
-    return sorted(candidates).index(node) if node in candidates else len(candidates)
+def rank_of(box: str, candidates: list[str]) -> int:
+    """Return the place of *box* in the order in which candidates step in."""
+    return sorted(candidates).index(box) if box in candidates else len(candidates)
 
 
 def patience_ms(silent_ms: float, rank: int, has_heard: bool) -> float:
@@ -49,9 +49,9 @@
 
 
 def may_claim(witnesses: Witnesses, silent_ms: float) -> bool:
-    """Return whether a node that does not hear its owner may claim the zone.
+    """Return whether a box that does not hear its owner may claim the zone.
 
-    A node that reaches nobody can't tell a dead owner from its own isolation, and must not
+    A box that reaches nobody can't tell a dead owner from its own isolation, and must not
     take the workers from an owner that others hear.
     """
     if witnesses.asked and not witnesses.answered:
@@ -60,24 +60,24 @@
     return heard is None or heard >= silent_ms
 
 
-def next_token(highest_known: int, time_of_day_s: float, node_bits: int) -> int:
-    """Return a token above *highest_known* that no other node makes.
+def next_token(highest_known: int, time_of_day_s: float, box_bits: int) -> int:
+    """Return a token above *highest_known* that no other box makes.
 
-    The upper part rises and begins at the time of day, so that a zone whose nodes have all
-    forgotten their tokens still goes above them; the lower part is the node's own.
+    The upper part rises and begins at the time of day, so that a zone whose boxes have all
+    forgotten their tokens still goes above them; the lower part is the box's own.
     """
     rising = max((highest_known >> _NODE_BITS) + 1, int(time_of_day_s * 1_000) // _TICK_MS)
-    return (rising << _NODE_BITS) | node_bits
+    return (rising << _NODE_BITS) | box_bits
 
 
-def token_above(refused: int, tries: int, node_bits: int) -> int:
+def token_above(refused: int, tries: int, box_bits: int) -> int:
     """Return a token after a worker refused *refused* for a higher one that nobody knows of.
 
     The step doubles with each of *tries*: after a clock that went back, few steps are enough.
     """
-    return (((refused >> _NODE_BITS) + (1 << min(tries + 3, 20))) << _NODE_BITS) | node_bits
+    return (((refused >> _NODE_BITS) + (1 << min(tries + 3, 20))) << _NODE_BITS) | box_bits
 
 
-def new_node_bits() -> int:
+def new_box_bits() -> int:
     """Return the lower part of this process's tokens."""
     return random.getrandbits(_NODE_BITS)
--- a/src/foldloom/owners/elector.py
+++ b/src/foldloom/owners/elector.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""A node's part in who owns its zone: it hears the owner, asks others, claims, steps down."""
+"""A box's part in who owns its zone: it hears the owner, asks others, claims, steps down."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from foldloom.owners.election import (
     Witnesses,
     may_claim,
-    new_node_bits,
+    new_box_bits,
     next_token,
     patience_ms,
     rank_of,
@@ -49,10 +49,10 @@
 
 
 class Elector:
-    """Follow, or be, the owner of this node's zone.
+    """Follow, or be, the owner of this box's zone.
 
     Args:
-        view: The other nodes.
+        view: The other boxes.
         network: The peers.
         timings: Intervals and bounds.
         make_owner: Makes the owner of a new term.
@@ -73,7 +73,7 @@
         self._make_owner = make_owner
         self._on_beat = on_beat
         self._zone = view.own.zone
-        self._node_bits = new_node_bits()
+        self._box_bits = new_box_bits()
         self._owner: ZoneOwner | None = None
         self._heard = OwnerRecord(self._zone)
         self._heard_ms = monotonic_ms()
@@ -91,7 +91,7 @@
 
     @property
     def owner(self) -> ZoneOwner | None:
-        """The present term of owning, if this node owns its zone."""
+        """The present term of owning, if this box owns its zone."""
         return self._owner
 
     @property
@@ -115,16 +115,16 @@
                 self._claim(witnesses.highest_token)
 
     def hand_over(self) -> str:
-        """Give the zone to another node before a planned stop; return who gets it, or ''."""
+        """Give the zone to another box before a planned stop; return who gets it, or ''."""
         owner = self._owner
         if owner is None:
             return ""
         heirs = [
-            node
-            for node in self._view.entries_of(self._zone)
-            if node != self._view.own.node and not self._view.is_leaving(node)
+            box
+            for box in self._view.entries_of(self._zone)
+            if box != self._view.own.box and not self._view.is_leaving(box)
         ]
-        heirs.sort(key=lambda node: self._network.known_incarnation(node) == 0)
+        heirs.sort(key=lambda box: self._network.known_incarnation(box) == 0)
         if not heirs:
             return ""
         self._step_down()
@@ -146,7 +146,7 @@
         self._fenced_ms = now_ms
         self._fenced_count += 1
         PLACE_LOG.warning("Worker {} knows a token above {}.", worker, owner.token)
-        token = token_above(owner.token, self._fenced_count, self._node_bits)
+        token = token_above(owner.token, self._fenced_count, self._box_bits)
         self._step_down()
         # Somebody else may own the zone. The beats tell; if there are none, claim above it.
         self._heard = OwnerRecord(self._zone, token)
@@ -158,20 +158,20 @@
         if self._owner is not None or self._view.own.is_leaving or not self._view.is_informed:
             return False
         candidates = [
-            node
-            for node in self._view.entries_of(self._zone)
-            if node == self._view.own.node or not self._view.is_leaving(node)
+            box
+            for box in self._view.entries_of(self._zone)
+            if box == self._view.own.box or not self._view.is_leaving(box)
         ]
-        rank = rank_of(self._view.own.node, candidates)
+        rank = rank_of(self._view.own.box, candidates)
         return self.silent_ms >= patience_ms(
             self._timings.owner_silent_ms, rank, bool(self._heard.token)
         )
 
     async def _ask_witnesses(self) -> Witnesses:
-        own = self._view.own.node
-        others = [node for node in self._view.entries_of(self._zone) if node != own]
+        own = self._view.own.box
+        others = [box for box in self._view.entries_of(self._zone) if box != own]
         asked = [*others, *self._view.controllers]
-        answers = await asyncio.gather(*(self._ask(node) for node in asked))
+        answers = await asyncio.gather(*(self._ask(box) for box in asked))
         given = [answer for answer in answers if answer is not None]
         heard = [float(answer.silent_ms) for answer in given if answer.silent_ms >= 0]
         tokens = [answer.owner.token for answer in given]
@@ -179,10 +179,10 @@
             len(asked), len(given), min(heard, default=None), max([self._heard.token, *tokens])
         )
 
-    async def _ask(self, node: str) -> OwnerAnswer | None:
+    async def _ask(self, box: str) -> OwnerAnswer | None:
         try:
             reply: OwnerAnswer = await self._network.ask(
-                node, OwnerQuery(self._zone), _QUERY_TIMEOUT_MS
+                box, OwnerQuery(self._zone), _QUERY_TIMEOUT_MS
             )
         except PeerUnreachableError:
             return None
@@ -190,9 +190,9 @@
 
     def _claim(self, highest_token: int) -> None:
         highest = max(highest_token, self._heard.token, self._view.owner_of(self._zone).token)
-        token = next_token(highest, time.time(), self._node_bits)
+        token = next_token(highest, time.time(), self._box_bits)
         own = self._view.own
-        record = OwnerRecord(self._zone, token, own.node, own.life)
+        record = OwnerRecord(self._zone, token, own.box, own.life)
         PLACE_LOG.info("Own zone {} with token {}.", self._zone, token)
         self._heard = record
         self._heard_ms = monotonic_ms()
@@ -208,17 +208,17 @@
         self._owner = None
 
     def _on_owner_beat(self, sender: str, beat: OwnerBeat) -> HigherToken | None:
-        self._view.hear_node(beat.record, monotonic_ms())
+        self._view.hear_box(beat.record, monotonic_ms())
         if beat.owner.zone != self._zone:
             self._hear_other_zone(beat)
             return None
-        if beat.owner.token < self._heard.token and self._heard.node:
+        if beat.owner.token < self._heard.token and self._heard.box:
             self._network.tell(sender, HigherToken(self._heard))
             return None
         if self._owner is not None and beat.owner.token > self._owner.token:
             self._step_down()
         if beat.owner.token > self._heard.token:
-            PLACE_LOG.info("Zone {} is owned by {}.", self._zone, beat.owner.node)
+            PLACE_LOG.info("Zone {} is owned by {}.", self._zone, beat.owner.box)
         self._heard = beat.owner
         self._heard_ms = monotonic_ms()
         self._view.hear_owner(beat.owner)
@@ -277,5 +277,5 @@
 
     def _on_echo(self, sender: str, echo: Echo) -> None:
         if self._owner is not None:
-            self._view.hear_node(echo.record, monotonic_ms())
+            self._view.hear_box(echo.record, monotonic_ms())
             self._owner.hear_echo(sender, echo)
--- a/src/foldloom/owners/messages.py
+++ b/src/foldloom/owners/messages.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Messages between entry nodes and the owners of workers: runs, their ends, cancels."""
+"""Messages between entry boxes and the owners of workers: runs, their ends, cancels."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class SubmitRuns(NamedTuple):
-    """A node hands runs of one step of a job to an owner.
+    """A box hands runs of one step of a job to an owner.
 
     Args:
         token: The owner's token.
@@ -101,7 +101,7 @@
 
 
 class CancelJob(NamedTuple):
-    """A node wants nothing more of a job: what runs of it is stopped."""
+    """A box wants nothing more of a job: what runs of it is stopped."""
 
     job_id: str
 
@@ -178,7 +178,7 @@
 
 
 class ClaimReply(NamedTuple):
-    """How many runs their node is told to hand to the claiming owner."""
+    """How many runs their box is told to hand to the claiming owner."""
 
     runs: int
 
--- a/src/foldloom/owners/sessions.py
+++ b/src/foldloom/owners/sessions.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
-"""The rights that nodes grant an owner, and what each of them is still to be told.
+"""The rights that boxes grant an owner, and what each of them is still to be told.
 
-A node answers each beat of its owner with an echo of the beat's sending time. The owner may
-run that node's tasks for the session time from then on, by its own clock. The node, counting
+A box answers each beat of its owner with an echo of the beat's sending time. The owner may
+run that box's tasks for the session time from then on, by its own clock. The box, counting
 from when it sent the echo, knows a later time at which that right has ended for certain.
 """
 
@@ -22,10 +22,10 @@
 
 
 class Session:
-    """One node's grant.
+    """One box's grant.
 
     Args:
-        holder: The node's life.
+        holder: The box's life.
         zone: The owner's zone.
         network: The peers.
     """
@@ -39,18 +39,18 @@
         self._has_untold = asyncio.Event()
 
     def tell(self, end: RunEnd) -> None:
-        """Queue an end for the node."""
+        """Queue an end for the box."""
         self._untold.append(end)
         self._has_untold.set()
 
     async def run(self) -> None:
-        """Tell the node of ends, each until it is acknowledged, until cancelled."""
+        """Tell the box of ends, each until it is acknowledged, until cancelled."""
         while True:
             await self._has_untold.wait()
             ends = self._untold[:_ENDS_AT_ONCE]
             try:
                 message = RunsEnded(self._zone, ends)
-                await self._network.ask(self.holder.node, message, _ACK_TIMEOUT_MS)
+                await self._network.ask(self.holder.box, message, _ACK_TIMEOUT_MS)
             except PeerUnreachableError:
                 continue
             del self._untold[: len(ends)]
@@ -86,10 +86,10 @@
         session = self._sessions.get(holder)
         return session is not None and now_ms < session.right_until_ms
 
-    def has_other(self, node: str, now_ms: float) -> bool:
-        """Return whether any node but *node* grants its right now."""
+    def has_other(self, box: str, now_ms: float) -> bool:
+        """Return whether any box but *box* grants its right now."""
         return any(
-            holder.node != node and now_ms < session.right_until_ms
+            holder.box != box and now_ms < session.right_until_ms
             for holder, session in self._sessions.items()
         )
 
@@ -119,8 +119,8 @@
         return lapsed
 
     def end_other_lives(self, holder: HolderId) -> list[HolderId]:
-        """End the sessions of earlier lives of a node and return them."""
-        earlier = [one for one in self._sessions if one.node == holder.node and one != holder]
+        """End the sessions of earlier lives of a box and return them."""
+        earlier = [one for one in self._sessions if one.box == holder.box and one != holder]
         self._end(earlier)
         return earlier
 
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -194,7 +194,7 @@
         taken, self._ends = self._ends, []
         return taken
 
-    # Runs that nodes hand in and take back.
+    # Runs that boxes hand in and take back.
 
     def submit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
         """Take the runs of *message*; those that are known already are attached to."""
@@ -400,7 +400,7 @@
         self._claims.extend(ClaimAction(*claimed) for claimed in placing.claimed)
 
     def _is_late_submit(self, holder: HolderId, job_id: str, now_ms: float) -> bool:
-        """Return whether the node has cancelled this job since it sent this message."""
+        """Return whether the box has cancelled this job since it sent this message."""
         cancelled_ms = self._cancelled.get((holder, job_id))
         return cancelled_ms is not None and now_ms - cancelled_ms < _CANCEL_REMEMBERED_MS
 
@@ -515,7 +515,7 @@
         run.traced_until = bound
         self._runs[task] = run
         self._tasks_of_job.setdefault(task.job_id, set()).add(task)
-        # Also a run that no earlier owner is said to know may be there: its node has died.
+        # Also a run that no earlier owner is said to know may be there: its box has died.
         if not self._adopt_foreign(run, now_ms) and state is RunState.QUEUED:
             self._waiting.add(run)
 
@@ -577,7 +577,7 @@
         if run.number > end.run_id.run:
             return
         if run.state is RunState.TRACED and end.how is not EndKind.DONE:
-            # Its node may not know of a later run that an earlier owner started elsewhere.
+            # Its box may not know of a later run that an earlier owner started elsewhere.
             run.number = end.run_id.run
         elif run.state is RunState.TRACED or run.worker == worker:
             run.number = end.run_id.run
@@ -585,7 +585,7 @@
             self._finish(run, _CAUSES[end.how], end.checkpoint, now_ms)
 
     def _remember(self, task: TaskId, end: EndedRun, worker: str, now_ms: float) -> None:
-        """Keep an end that nobody waits for now; an earlier owner's node may ask for it."""
+        """Keep an end that nobody waits for now; an earlier owner's box may ask for it."""
         known = self._past.get(task)
         if known is not None and known.number >= end.run_id.run:
             return
@@ -643,7 +643,7 @@
         )
 
     def _stop_foreign(self, now_ms: float) -> None:
-        """Stop what nobody claims: the node that wanted it is gone."""
+        """Stop what nobody claims: the box that wanted it is gone."""
         for worker, candidate in self._candidates.items():
             for task, known in candidate.foreign.items():
                 if now_ms - known.noted_ms > _FOREIGN_GRACE_MS:
--- a/src/foldloom/owners/tie.py
+++ b/src/foldloom/owners/tie.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""An entry node's tie to the owner of one zone: grants, runs handed in, a new owner."""
+"""An entry box's tie to the owner of one zone: grants, runs handed in, a new owner."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
     Args:
         zone: The zone.
-        view: The other nodes.
+        view: The other boxes.
         network: The peers.
         timings: Intervals and bounds.
     """
@@ -74,7 +74,7 @@
         self._beaten_ms = monotonic_ms()
         self.load = beat.load
         echo = Echo(beat.owner.token, beat.sent_ms, self._view.own, published_version)
-        self._network.tell(beat.owner.node, echo)
+        self._network.tell(beat.owner.box, echo)
         self._echoed_ms = monotonic_ms()
         self._has_owner.set()
         if is_new:
@@ -115,7 +115,7 @@
         for _ in range(_CANCEL_TRIES):
             try:
                 reply: Cancelled = await self._network.ask(
-                    self._owner.node, CancelJob(job_id), _ASK_TIMEOUT_MS
+                    self._owner.box, CancelJob(job_id), _ASK_TIMEOUT_MS
                 )
                 return has_started or reply.has_started
             except PeerUnreachableError:
@@ -140,7 +140,7 @@
             "Job {}: {} runs handed to owner {}: {}.",
             batch.template.job_id,
             len(orders),
-            self._owner.node,
+            self._owner.box,
             reply.status.name,
         )
 
@@ -161,7 +161,7 @@
             left_ms = max(0.0, right_end_ms - monotonic_ms())
             message = batch.message(owner.token, still_open, left_ms)
             try:
-                reply: SubmitReply = await self._network.ask(owner.node, message, _ASK_TIMEOUT_MS)
+                reply: SubmitReply = await self._network.ask(owner.box, message, _ASK_TIMEOUT_MS)
             except PeerUnreachableError:
                 continue
             if reply.status is not SubmitStatus.NOT_OWNER:
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""The owner of a zone's workers while this node holds the token: it alone calls them."""
+"""The owner of a zone's workers while this box holds the token: it alone calls them."""
 
 from __future__ import annotations
 
@@ -53,8 +53,8 @@
     """One term of owning a zone's workers.
 
     Args:
-        record: This owner: zone, token, node.
-        view: The other nodes.
+        record: This owner: zone, token, box.
+        view: The other boxes.
         network: The peers.
         calls: How workers are called.
         catalog: The workers.
@@ -105,7 +105,7 @@
 
     @property
     def record(self) -> OwnerRecord:
-        """This owner: zone, token, node."""
+        """This owner: zone, token, box."""
         return self._record
 
     @property
@@ -126,8 +126,8 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Whether other entry nodes are known and none of them grants its right any more."""
-        own = self._view.own.node
+        """Whether other entry boxes are known and none of them grants its right any more."""
+        own = self._view.own.box
         if self._view.entries == [own]:
             return False
         return not self._sessions.has_other(own, monotonic_ms())
@@ -184,7 +184,7 @@
         return ClaimReply(released)
 
     def hear_echo(self, sender: str, echo: Echo) -> None:
-        """Take a node's grant."""
+        """Take a box's grant."""
         if echo.token != self.token or self._is_closed:
             return
         holder = HolderId(sender, self._network.known_incarnation(sender))
@@ -238,8 +238,8 @@
                 self._published_version(),
                 self.load,
             )
-            for node in self._audience():
-                self._network.tell(node, beat, self._timings.owner_silent_ms)
+            for box in self._audience():
+                self._network.tell(box, beat, self._timings.owner_silent_ms)
             await asyncio.sleep(self._timings.owner_beat_ms / 1_000)
 
     async def _share(self) -> None:
@@ -251,17 +251,17 @@
             groups = self._state.tell_waiting(monotonic_ms())
             if groups or has_told:
                 message = WaitingGroups(self._record, groups)
-                for node in self._other_owners():
-                    self._network.tell(node, message, _SHARE_TTL_MS)
+                for box in self._other_owners():
+                    self._network.tell(box, message, _SHARE_TTL_MS)
             has_told = bool(groups)
             await asyncio.sleep(_SHARE_PAUSE_S)
 
     def _other_owners(self) -> list[str]:
         owners = [self._view.owner_of(zone) for zone in self._view.zones]
-        return [owner.node for owner in owners if owner.zone != self._record.zone]
+        return [owner.box for owner in owners if owner.zone != self._record.zone]
 
     def _audience(self) -> list[str]:
-        """Return who hears the beats: all entry nodes, while they are not too many."""
+        """Return who hears the beats: all entry boxes, while they are not too many."""
         entries = self._view.entries
         if len(entries) > _BEAT_ALL_MAX:
             entries = self._view.entries_of(self._record.zone)
@@ -282,9 +282,9 @@
             await asyncio.sleep(_TICK_S)
 
     def _end_lapsed_sessions(self, now_ms: float) -> None:
-        """Stop the runs of nodes whose right is over, counted from when it was over."""
+        """Stop the runs of boxes whose right is over, counted from when it was over."""
         for right in self._sessions.end_lapsed(now_ms):
-            WORKER_LOG.info("The session of {} has ended.", right.holder.node)
+            WORKER_LOG.info("The session of {} has ended.", right.holder.box)
             self._state.end_session(right.holder, right.ended_ms)
 
     def _follow_catalog(self, now_ms: float) -> None:
@@ -347,7 +347,7 @@
         message = ClaimRuns(self._record.zone, claim.group, len(claim.reservations))
         granted = 0
         try:
-            reply: ClaimReply = await self._network.ask(owner.node, message, _CLAIM_TIMEOUT_MS)
+            reply: ClaimReply = await self._network.ask(owner.box, message, _CLAIM_TIMEOUT_MS)
             granted = reply.runs
         except PeerUnreachableError:
             self._metrics.count("claims.unanswered")
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -97,7 +97,7 @@
     def _silence_options(self) -> list[tuple[int, int]]:
         """How soon a connection that fell silent is given up.
 
-        In an open network nodes come and go at any address, so a connection to one that is
+        In an open network boxes come and go at any address, so a connection to one that is
         gone, or behind a cut that has healed, must be made anew soon.
         """
         if not self._is_open:
@@ -150,7 +150,7 @@
             self._senders[peer.box] = self._spawn(self._send_to(peer))
 
     def add_peer(self, box: str) -> None:
-        """Connect to a node of an open network, whose name is its address (``IP:port``)."""
+        """Connect to a box of an open network, whose name is its address (``IP:port``)."""
         if box in self._peers or box == self._settings.box:
             return
         peer = PeerSettings(box=box, zone="", roles=[], address=box)
@@ -161,7 +161,7 @@
             self._senders[box] = self._spawn(self._send_to(peer))
 
     def drop_peer(self, box: str) -> None:
-        """Close the connection to a node of an open network that is gone."""
+        """Close the connection to a box of an open network that is gone."""
         if not self._is_open or box not in self._peers:
             return
         del self._peers[box], self._outboxes[box], self._wakeups[box]
--- a/src/foldloom/scheduling/runs.py
+++ b/src/foldloom/scheduling/runs.py
@@ -10,9 +10,9 @@
 
 
 class HolderId(NamedTuple):
-    """A node's life that was granted a session: it is told how its runs end."""
+    """A box's life that was granted a session: it is told how its runs end."""
 
-    node: str
+    box: str
     life: int
 
 
--- a/src/foldloom/scheduling/sharing.py
+++ b/src/foldloom/scheduling/sharing.py
@@ -3,7 +3,7 @@
 
 Each owner serves its own zone's jobs first come by rank, and sees the first of what waits
 elsewhere in the same order. Where a group of another zone is next, it reserves room, claims runs
-from their owner, and their node hands them in here.
+from their owner, and their box hands them in here.
 """
 
 from __future__ import annotations
--- a/tests/models/owners_model.py
+++ b/tests/models/owners_model.py
@@ -2,7 +2,7 @@
 """A small specification of owners and one task, for exhaustive checking.
 
 Two workers, of which the first has a slow clock; two owners, of which the first may live on;
-two entry nodes, of which the first dies or loses its caller, and the second is handed the same
+two entry boxes, of which the first dies or loses its caller, and the second is handed the same
 job again. Time passes
 in ticks; whatever may happen in a tick happens in any order or not at all, which covers cuts,
 frozen owners and messages that are lost; an order to start may also be carried out late.
@@ -87,8 +87,8 @@
     workers: tuple[Worker, Worker]
     owners: tuple[Owner, Owner]
     order: Order | None
-    node_lost: int
-    node_lives: bool
+    box_lost: int
+    box_lives: bool
     is_resent: bool
 
 
@@ -113,10 +113,10 @@
 def _steps(state: State, rules: Rules, bounds: Bounds) -> Iterator[tuple[str, State]]:
     if state.now < bounds.ticks:
         yield "time passes", _tick(state)
-    if state.node_lost == NEVER:
-        yield "node 0 dies", state._replace(node_lost=state.now, node_lives=False)
-        yield "node 0's caller is lost to it", state._replace(node_lost=state.now)
-    yield from _nodes(state, rules, bounds)
+    if state.box_lost == NEVER:
+        yield "box 0 dies", state._replace(box_lost=state.now, box_lives=False)
+        yield "box 0's caller is lost to it", state._replace(box_lost=state.now)
+    yield from _boxes(state, rules, bounds)
     if state.order is not None:
         yield from _late_order(state, state.order, rules)
     for number, owner in enumerate(state.owners):
@@ -133,29 +133,29 @@
     return state._replace(now=now, workers=(ended[0], ended[1]))
 
 
-def _nodes(state: State, rules: Rules, bounds: Bounds) -> Iterator[tuple[str, State]]:
-    """What the entry nodes do: they grant, follow a new owner, hand the job in again."""
+def _boxes(state: State, rules: Rules, bounds: Bounds) -> Iterator[tuple[str, State]]:
+    """What the entry boxes do: they grant, follow a new owner, hand the job in again."""
     present = SECOND if state.owners[SECOND].is_active else FIRST
-    is_granting = state.node_lives or state.is_resent
+    is_granting = state.box_lives or state.is_resent
     until = state.now + SESSION
     if is_granting and state.owners[present].right_until < until:
         granted = state.owners[present]._replace(right_until=until)
         yield f"owner {present} is granted its right", _own(state, present, granted)
-    # A node that lives says for how long it has not heard the owner before.
-    is_silent = not state.node_lives or state.now >= state.owners[FIRST].right_until
+    # A box that lives says for how long it has not heard the owner before.
+    is_silent = not state.box_lives or state.now >= state.owners[FIRST].right_until
     may_claim = is_silent or not rules.claims_after_silence
     if not state.owners[SECOND].is_active and may_claim:
         yield "owner 1 takes over", _take_over(state, rules)
-    is_due = state.node_lost != NEVER and state.now >= state.node_lost + bounds.resend
+    is_due = state.box_lost != NEVER and state.now >= state.box_lost + bounds.resend
     if is_due and not state.is_resent:
-        yield "node 1 hands the job in", _resend(state, present, rules)
+        yield "box 1 hands the job in", _resend(state, present, rules)
 
 
 def _take_over(state: State, rules: Rules) -> State:
-    """Let the second owner begin; a living node hands its task over as one to look for."""
+    """Let the second owner begin; a living box hands its task over as one to look for."""
     owner = Owner(is_active=True)
-    if state.node_lives:
-        # The node knows when its last grant to the first owner has ended.
+    if state.box_lives:
+        # The box knows when its last grant to the first owner has ended.
         gone_at = state.owners[FIRST].right_until + LEASE_SLOW
         belief = Belief.TRACED if rules.new_owner_looks_first else Belief.QUEUED
         owner = owner._replace(belief=belief, gone_at=gone_at, right_until=state.now + SESSION)
--- a/tests/test_nodes_controllers.py
+++ b/tests/test_boxes_controllers.py
@@ -12,15 +12,15 @@
 import pytest
 
 from cluster import free_port
-from foldloom.nodes.controller import ControllerHost
+from foldloom.boxes.controller import ControllerHost
 from foldloom.settings import Settings, settings_from
 
 _WAIT_S = 15.0
 _TIMEOUT_MS = 1_000.0
 
 
-def node_settings(port: int, seeds: list[str], role: str, folder: Path | str = "") -> Settings:
-    """Return the settings of a node on loopback."""
+def box_settings(port: int, seeds: list[str], role: str, folder: Path | str = "") -> Settings:
+    """Return the settings of a box on loopback."""
     address = f"127.0.0.1:{port}"
     return settings_from(
         {
@@ -46,7 +46,7 @@
 
     async def start(self, port: int, is_first_start: bool = False) -> None:
         """Start the controller at *port*."""
-        settings = node_settings(port, self._seeds, "controller", self._folder / str(port))
+        settings = box_settings(port, self._seeds, "controller", self._folder / str(port))
         self.hosts[port] = ControllerHost(settings, is_first_start, str(port))
         await self.hosts[port].start()
 
--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""What an entry node says of a job that it gives up: nothing ran, or something may have run."""
+"""What an entry box says of a job that it gives up: nothing ran, or something may have run."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from typing import Any
 
 from foldloom.exceptions import PeerUnreachableError
-from foldloom.fleet.messages import NodeRecord, OwnerBeat, OwnerRecord, ZoneLoad
+from foldloom.fleet.messages import BoxRecord, OwnerBeat, OwnerRecord, ZoneLoad
 from foldloom.fleet.view import FleetView
 from foldloom.jobs.spec import RunId, TaskId
 from foldloom.owners.client import OwnerClient
@@ -43,10 +43,10 @@
         """Keep who takes messages of a kind."""
         self.handlers[kind] = handler
 
-    def tell(self, _node: str, _message: Any, _ttl_ms: float = 0) -> None:
+    def tell(self, _box: str, _message: Any, _ttl_ms: float = 0) -> None:
         """Lose a message that needs no answer."""
 
-    async def ask(self, _node: str, message: Any, _timeout_ms: float) -> Any:
+    async def ask(self, _box: str, message: Any, _timeout_ms: float) -> Any:
         """Answer as an owner that takes all runs."""
         self.asked.append(message)
         if not self.is_reachable:
@@ -61,15 +61,15 @@
 
     def __init__(self, timings: TimingSettings | None = None) -> None:
         self.network = FakeNetwork()
-        own = NodeRecord("10.0.0.1:1", 1, _HOME, ENTRY, "e")
+        own = BoxRecord("10.0.0.1:1", 1, _HOME, ENTRY, "e")
         network: Any = self.network
         self.client = OwnerClient(FleetView(own, []), network, timings or TimingSettings())
         self.ends: asyncio.Queue[RunEnd] = asyncio.Queue()
 
     def beat(self, token: int, zone: str = _HOME) -> None:
         """Hear an owner."""
-        record = NodeRecord(f"10.0.0.{token}:1", 1, zone, ENTRY, "o")
-        owner = OwnerRecord(zone, token, record.node, 1)
+        record = BoxRecord(f"10.0.0.{token}:1", 1, zone, ENTRY, "o")
+        owner = OwnerRecord(zone, token, record.box, 1)
         self.client.hear_beat(OwnerBeat(owner, record, 0, 0, ZoneLoad(10**6, 10**6, 0)), 0)
 
     async def submit(self, run: int = 1) -> SubmitReply:
--- a/tests/test_owners_election.py
+++ b/tests/test_owners_election.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""When a node may claim its zone, and with which token."""
+"""When a box may claim its zone, and with which token."""
 
 from __future__ import annotations
 
@@ -23,15 +23,15 @@
         assert may_claim(Witnesses(3, 2, 450.0, 7), _SILENT_MS)
 
     def test_somebody_hears_the_owner(self) -> None:
-        """One who hears it is enough: only this node does not."""
+        """One who hears it is enough: only this box does not."""
         assert not may_claim(Witnesses(3, 2, 80.0, 7), _SILENT_MS)
 
     def test_isolated(self) -> None:
-        """A node that reaches nobody does not take the workers from an owner that lives."""
+        """A box that reaches nobody does not take the workers from an owner that lives."""
         assert not may_claim(Witnesses(3, 0, None, 7), _SILENT_MS)
 
     def test_alone(self) -> None:
-        """A node that is the only one there is may claim."""
+        """A box that is the only one there is may claim."""
         assert may_claim(Witnesses(0, 0, None, 0), _SILENT_MS)
 
     def test_never_heard(self) -> None:
@@ -44,8 +44,8 @@
 
     def test_rank_and_patience(self) -> None:
         """The first in order waits least."""
-        nodes = ["10.0.0.2:1", "10.0.0.1:1"]
-        assert [rank_of(node, nodes) for node in sorted(nodes)] == [0, 1]
+        boxes = ["10.0.0.2:1", "10.0.0.1:1"]
+        assert [rank_of(box, boxes) for box in sorted(boxes)] == [0, 1]
         assert patience_ms(_SILENT_MS, 0, True) < patience_ms(_SILENT_MS, 1, True)
 
     def test_first_start(self) -> None:
@@ -67,7 +67,7 @@
         assert next_token(0, 1_700_000_001.0, 1) > before
 
     def test_two_nodes_never_make_the_same(self) -> None:
-        """At one moment two nodes make two tokens."""
+        """At one moment two boxes make two tokens."""
         assert next_token(0, 1_700_000_000.0, 1) != next_token(0, 1_700_000_000.0, 2)
 
     def test_clock_went_back(self) -> None:
--- a/tests/test_owners_machine.py
+++ b/tests/test_owners_machine.py
@@ -58,7 +58,7 @@
 
 
 class OwnersMachine(RuleBasedStateMachine):
-    """Nodes e1 and e2 hand jobs to one owner after the other."""
+    """Boxes e1 and e2 hand jobs to one owner after the other."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -74,11 +74,11 @@
         self.free_at: dict[str, float] = {}
         self.lives = 0
 
-    # What nodes do.
+    # What boxes do.
 
     @rule(job=_jobs)
     def submit(self, job: str) -> None:
-        """Hand a job in, at first or again after its node died."""
+        """Hand a job in, at first or again after its box died."""
         if job in self.holder_of or self.now < self.free_at.get(job, 0.0):
             return
         self.lives += 1
@@ -88,8 +88,8 @@
         self.open[TaskId(job, 0, 0, 0)] = 1
 
     @rule(job=_jobs)
-    def node_dies(self, job: str) -> None:
-        """A node dies; its owner notes it when the session is over, its caller sends again."""
+    def box_dies(self, job: str) -> None:
+        """A box dies; its owner notes it when the session is over, its caller sends again."""
         holder = self.holder_of.pop(job, None)
         if holder is None:
             return
@@ -150,7 +150,7 @@
     @precondition(lambda self: self.old is None)
     @rule(right_ms=st.floats(0.0, _SESSION_MS), is_dead=st.booleans())
     def new_owner(self, right_ms: float, is_dead: bool) -> None:
-        """Another node takes over; the one before may live on behind a cut for a while."""
+        """Another box takes over; the one before may live on behind a cut for a while."""
         self.old = None if is_dead else self.term
         self.old_right_ms = self.now + right_ms
         self.old_holders = set(self.holder_of.values())
@@ -329,7 +329,7 @@
             case "leave":
                 machine.client_leaves(job)
             case "die":
-                machine.node_dies(job)
+                machine.box_dies(job)
             case "owner" if machine.old is None or machine.now > machine.old_right_ms + 2_000:
                 machine.new_owner(rng.uniform(0.0, _SESSION_MS), rng.random() < 0.5)
             case "old" if machine.old is not None:
--- a/tests/test_owners_model.py
+++ b/tests/test_owners_model.py
@@ -21,7 +21,7 @@
 
 
 class TestOwnersProtocol:
-    """Two owners, two workers, two nodes that are handed the same job."""
+    """Two owners, two workers, two boxes that are handed the same job."""
 
     def test_one_run_at_a_time(self) -> None:
         """No task is ever on two workers."""
--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -222,7 +222,7 @@
         state.place(21.0)
         assert state.take_starts() == []
 
-    def test_same_job_through_another_node(self) -> None:
+    def test_same_job_through_another_box(self) -> None:
         """A job that is sent again attaches to its run; it goes on while one wants it."""
         state = owner_with(worker("w1"), worker("w2"))
         run_id = start_one(state)
@@ -264,7 +264,7 @@
     """A new owner takes over what an earlier one started."""
 
     def test_running_run_is_adopted(self) -> None:
-        """A run that a worker lists is kept, whichever comes first: the look or the node."""
+        """A run that a worker lists is kept, whichever comes first: the look or the box."""
         run_id = RunId(_TASK, 3)
         for looks_first in (True, False):
             state = OwnerState(_GONE_AFTER_MS)
@@ -295,8 +295,8 @@
         state.report("w1", (), (EndedRun(1, RunId(_TASK, 3), EndKind.DONE),), 7.0, 8.0)
         assert [(end.run_id.run, end.cause) for _, end in ends_of(state)] == [(3, EndCause.DONE)]
 
-    def test_end_that_came_before_the_node(self) -> None:
-        """An end that a worker still lists is told when the node asks for it."""
+    def test_end_that_came_before_the_box(self) -> None:
+        """An end that a worker still lists is told when the box asks for it."""
         state = OwnerState(_GONE_AFTER_MS)
         state.follow_worker(worker("w1"))
         state.report("w1", (), (EndedRun(4, RunId(_TASK, 1), EndKind.DONE),), 0.0, 1.0)
@@ -327,7 +327,7 @@
         assert [end.cause for _, end in ends_of(state)] == [EndCause.LOST]
 
     def test_unclaimed_run_is_stopped(self) -> None:
-        """What no node claims is stopped after a while; until then its worker gets no work."""
+        """What no box claims is stopped after a while; until then its worker gets no work."""
         state = OwnerState(_GONE_AFTER_MS)
         state.follow_worker(worker("w1"))
         stranger = RunId(TaskId("f" * 16, 0, 0, 0), 1)
--- a/tests/test_owners_zone_owner.py
+++ b/tests/test_owners_zone_owner.py
@@ -7,7 +7,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from foldloom.fleet.messages import Echo, NodeRecord, OwnerRecord
+from foldloom.fleet.messages import BoxRecord, Echo, OwnerRecord
 from foldloom.fleet.view import FleetView
 from foldloom.metrics import Metrics
 from foldloom.owners.zone_owner import ZoneOwner
@@ -22,25 +22,25 @@
 class _Network:
     """Peers that answer nothing."""
 
-    def known_incarnation(self, _node: str) -> int:
+    def known_incarnation(self, _box: str) -> int:
         """Return a life."""
         return 1
 
 
-def _record(number: int) -> NodeRecord:
-    return NodeRecord(f"10.0.0.{number}:1", 1, _ZONE, ENTRY, f"e{number}")
+def _record(number: int) -> BoxRecord:
+    return BoxRecord(f"10.0.0.{number}:1", 1, _ZONE, ENTRY, f"e{number}")
 
 
 def _owner(*others: int) -> ZoneOwner:
-    """Return the owner on node 1, which knows the *others*."""
+    """Return the owner on box 1, which knows the *others*."""
     own = _record(1)
     view = FleetView(own, [])
     for number in others:
-        view.hear_node(_record(number), monotonic_ms())
+        view.hear_box(_record(number), monotonic_ms())
     network: Any = _Network()
     calls: Any = None
     return ZoneOwner(
-        OwnerRecord(_ZONE, _TOKEN, own.node, own.life),
+        OwnerRecord(_ZONE, _TOKEN, own.box, own.life),
         view,
         network,
         calls,
@@ -54,7 +54,7 @@
 
 
 def _echo(owner: ZoneOwner, number: int, beat_ms: float) -> None:
-    owner.hear_echo(_record(number).node, Echo(_TOKEN, int(beat_ms), _record(number), 0))
+    owner.hear_echo(_record(number).box, Echo(_TOKEN, int(beat_ms), _record(number), 0))
 
 
 def _run(test: Coroutine[Any, Any, None]) -> None:
@@ -65,7 +65,7 @@
     """An owner that nobody hears must not take a silent worker's runs for lapsed."""
 
     def test_alone_in_the_system(self) -> None:
-        """With no other entry node there is nobody who could own the zone."""
+        """With no other entry box there is nobody who could own the zone."""
 
         async def play() -> None:
             assert not _owner().is_isolated
@@ -73,7 +73,7 @@
         _run(play())
 
     def test_own_grant_does_not_count(self) -> None:
-        """Its own node always hears it."""
+        """Its own box always hears it."""
 
         async def play() -> None:
             owner = _owner(2)
@@ -84,7 +84,7 @@
         _run(play())
 
     def test_heard_by_another(self) -> None:
-        """One other node that grants its right is enough, until the grant is over."""
+        """One other box that grants its right is enough, until the grant is over."""
 
         async def play() -> None:
             owner = _owner(2, 3)
