Each decision on a request is a structured line; foldloom explain puts a life together

Cause: on-call engineers have only logs; the rooms of the platform's path wrote few sentences, to standard error, by a handler that blocks when nobody reads.

Ruled out: logbook's own threaded handler. It wakes its thread for every record.

Change: events with ids, inputs and outcome (PartLogger.event), a rate for each kind with a count of what was left out, a bounded batch that a thread writes every 100 ms, dropped with a count.

Conclusion: the way from an id to its cause is there for jobs that need not be kept.

--- a/src/foldloom/boxes/controller.py
+++ b/src/foldloom/boxes/controller.py
@@ -94,7 +94,9 @@
         self._spawn(self._node.run())
         self._spawn(self._registry.run())
         self._spawn(self._joiner.run())
-        CONTROLLER_LOG.info("Controller {} is up.", self._view.own.label)
+        CONTROLLER_LOG.event(
+            "process.up", role=CONTROLLER, zone=self._view.own.zone, at=self._settings.box
+        )
 
     async def publish(
         self, version: int, document: bytes, timeout_ms: float
@@ -117,14 +119,14 @@
     def follow_seeds(self, seeds: list[str]) -> None:
         """Take new seeds from reloaded settings."""
         self._view.set_seeds(seeds)
-        CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
+        CONFIG_LOG.event("seeds.followed", seeds=", ".join(seeds))
 
     async def stop(self) -> None:
         """Stop as planned: a leader has another one lead first."""
         self._view.set_leaving()
         heir = await self._node.hand_over()
         if heir:
-            CONTROLLER_LOG.info("Leadership was handed to {}.", heir)
+            CONTROLLER_LOG.event("leader.handed_over", to=heir)
         await self.kill()
 
     async def kill(self) -> None:
@@ -134,7 +136,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._node.stop()
         await self._network.stop()
-        CONTROLLER_LOG.info("Controller {} has stopped.", self._view.own.label)
+        CONTROLLER_LOG.event("process.stopped", role=CONTROLLER)
 
     def _controllers(self) -> list[str]:
         """Return all that take workers' and operators' calls, with a vote or without."""
--- a/src/foldloom/boxes/entry.py
+++ b/src/foldloom/boxes/entry.py
@@ -91,7 +91,7 @@
         self._spawn(self._joiner.run())
         self._spawn(self._elector.run())
         self._spawn(self._client.run())
-        ENTRY_LOG.info("Entry box {} of zone {} is up.", self._view.own.label, self._view.own.zone)
+        ENTRY_LOG.event("process.up", role=ENTRY, zone=self._view.own.zone, at=self._settings.box)
 
     async def run_job(self, job: Job, queue: Queue, timeout_ms: float) -> JobResult:
         """Run *job* and return its result, at the latest after *timeout_ms*."""
@@ -109,7 +109,7 @@
     def follow_seeds(self, seeds: list[str]) -> None:
         """Take new seeds from reloaded settings."""
         self._view.set_seeds(seeds)
-        CONFIG_LOG.info("Seeds are {}.", ", ".join(seeds))
+        CONFIG_LOG.event("seeds.followed", seeds=", ".join(seeds))
 
     @property
     def is_leaving(self) -> bool:
@@ -120,7 +120,7 @@
         """Begin a planned stop: hand ownership over, return when no caller comes any more."""
         self._view.set_leaving()
         heir = self._elector.hand_over()
-        ENTRY_LOG.info("A planned stop begins; zone handed to {}.", heir or "nobody")
+        ENTRY_LOG.event("process.stopping", zone_handed_to=heir, jobs=self._desk.running_count)
         await self._joiner.tell_all()
         await asyncio.sleep(self._settings.timings.drain_ms / 1_000)
 
@@ -128,7 +128,7 @@
         """Answer what is still in flight when the bound of a planned stop is reached."""
         timings = self._settings.timings
         await asyncio.sleep((timings.stop_timeout_ms - timings.drain_ms) / 1_000)
-        ENTRY_LOG.warning("The planned stop gives {} jobs up.", self._desk.running_count)
+        ENTRY_LOG.event("process.gives_up", jobs=self._desk.running_count)
         self._desk.give_up_all()
 
     async def stop(self) -> None:
@@ -138,7 +138,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._network.stop()
-        ENTRY_LOG.info("Entry box {} has stopped.", self._view.own.label)
+        ENTRY_LOG.event("process.stopped", role=ENTRY)
 
     def _on_publication(self, publication: Publication) -> None:
         self._queues = self._read_queues(publication)
--- a/src/foldloom/cli/main.py
+++ b/src/foldloom/cli/main.py
@@ -18,6 +18,7 @@
 import zmq
 
 from foldloom.cli.client import (
+    EXIT_FAILURE,
     EXIT_USAGE,
     base_url,
     call,
@@ -25,6 +26,8 @@
     expect_ok,
     operator_headers,
 )
+from foldloom.cli.explain import explain as explain_job
+from foldloom.cli.explain import life_text, read_lines
 from foldloom.cli.load import LoadOptions, run_load
 from foldloom.controllers.storage import format_folder
 from foldloom.exceptions import CommandError, SettingsError
@@ -151,6 +154,28 @@
         report = run_load(chosen)
         _print_json(report.fields()) if json else print(report.text())
 
+    def explain(self, job: str, *logs: str, json: bool = False) -> None:
+        """Show the life of one request, in order, from the JSON logs of the boxes.
+
+        Args:
+            job: Its id, or the first part of it.
+            logs: Files of JSON lines, of as many boxes as there are.
+            json: Print JSON.
+        """
+        if not logs:
+            raise CommandError("name at least one log file", EXIT_USAGE)
+        try:
+            life = explain_job(str(job), read_lines(logs))
+        except OSError as error:
+            raise CommandError(str(error), EXIT_USAGE) from error
+        if not life.lines:
+            raise CommandError(f"{job}: {life.cause}", EXIT_FAILURE)
+        if not json:
+            print(life_text(life))
+            return
+        lines = [line._asdict() for line in life.lines]
+        _print_json(life._replace(lines=[])._asdict() | {"lines": lines})
+
     def check_settings(self, file: str) -> None:
         """Check a settings file: exit 0, or 2 and a line with file, key and reason."""
         settings = load_settings(file)
--- a/src/foldloom/daemon.py
+++ b/src/foldloom/daemon.py
@@ -39,7 +39,7 @@
     except SettingsError as error:
         print(f"foldloomd: {error}", file=sys.stderr)
         raise SystemExit(_EXIT_USAGE) from None
-    start_logging(settings.logs)
+    start_logging(settings.logs, settings.box)
     uvloop.run(run_box(settings))
 
 
--- a/src/foldloom/entry/job_runner.py
+++ b/src/foldloom/entry/job_runner.py
@@ -81,6 +81,30 @@
 
     async def run(self) -> JobResult:
         """Return the job's one result; whatever still runs of it then is stopped."""
+        ENTRY_LOG.event(
+            "job.accepted",
+            job=self._job.job_id,
+            queue=self._queue.name,
+            service=self._queue.service,
+            steps=len(self._job.steps),
+            tasks=sum(step.tasks for step in self._job.steps),
+            estimate_ms=int(self._chain_ms()),
+            objective_ms=int(self._queue.objective_ms(self._chain_ms())),
+            deadline_in_ms=int(self._deadline_ms - self._began_ms),
+        )
+        result = await self._run()
+        ENTRY_LOG.event(
+            "job.ended",
+            job=self._job.job_id,
+            outcome=result.outcome.value,
+            reason=result.reason,
+            retry_after_ms=result.retry_after_ms,
+            took_ms=int(monotonic_ms() - self._began_ms),
+            tasks_left=sum(self._left),
+        )
+        return result
+
+    async def _run(self) -> JobResult:
         try:
             async with asyncio.timeout((self._deadline_ms - monotonic_ms()) / 1_000):
                 return await self._run_steps()
@@ -130,14 +154,15 @@
         if attempts.failures >= self._queue.attempts_max:
             return JobResult(JobOutcome.FAILED, f"a task failed {attempts.failures} times")
         attempts.run = max(attempts.run, end.run_id.run) + 1
-        ENTRY_LOG.info(
-            "Job {}: task {}.{} ended {} on {}; run {} follows.",
-            self._job.job_id,
-            task.step,
-            task.number,
-            end.cause.name,
-            end.worker or "no worker",
-            attempts.run,
+        ENTRY_LOG.event(
+            "run.retried",
+            job=self._job.job_id,
+            run=end.run_id.text,
+            worker=end.worker,
+            cause=end.cause.name.lower(),
+            failures=attempts.failures,
+            failures_max=self._queue.attempts_max,
+            next_run=attempts.run,
         )
         return await self._submit(task.step, [RunOrder(task.step, task.number, attempts.run)])
 
@@ -213,6 +238,8 @@
             self._running[job.job_id] = task
             self._waiters[job.job_id] = 0
             self._metrics.count("jobs.submitted")
+        else:
+            ENTRY_LOG.event("job.attached", job=job.job_id, waiters=self._waiters[job.job_id])
         self._waiters[job.job_id] += 1
         try:
             result = await asyncio.shield(task)
--- a/src/foldloom/fleet/joiner.py
+++ b/src/foldloom/fleet/joiner.py
@@ -9,7 +9,7 @@
 from foldloom.fleet.messages import Join, JoinReply, Noted, WorkersSeen
 from foldloom.fleet.published import PublishedHolder
 from foldloom.fleet.view import FleetView
-from foldloom.logs import CONFIG_LOG, PEER_LOG
+from foldloom.logs import PEER_LOG
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.workers.catalog import WorkerCatalog
 from foldloom.workers.records import WorkerRecord
@@ -83,10 +83,10 @@
             if reply is None:
                 failures += 1
                 if failures == _LOST_AFTER:
-                    PEER_LOG.warning("Controller {} does not answer.", box)
+                    PEER_LOG.event("controller.lost", controller=box, unanswered=failures)
             else:
                 if failures >= _LOST_AFTER:
-                    PEER_LOG.info("Controller {} answers again.", box)
+                    PEER_LOG.event("controller.back", controller=box, unanswered=failures)
                 failures = 0
                 life, revision = reply.catalog_life, reply.catalog_revision
             spent_ms = monotonic_ms() - began_ms
@@ -101,7 +101,7 @@
         now_ms = monotonic_ms()
         self._heard_ms[box] = now_ms
         for lost in self._view.hear_controller(box, reply, now_ms):
-            CONFIG_LOG.info("Box {} is gone.", lost)
+            PEER_LOG.event("box.gone", gone=lost)
             self._network.drop_peer(lost)
         self._merge(reply.workers)
         if reply.published_version > self._holder.version:
--- a/src/foldloom/fleet/published.py
+++ b/src/foldloom/fleet/published.py
@@ -53,7 +53,7 @@
         if publication.version <= self._publication.version:
             return
         self._publication = publication
-        CONFIG_LOG.info("Published version {} is in force.", publication.version)
+        CONFIG_LOG.event("config.held", version=publication.version)
         self._on_change(publication)
         if self._cache is not None:
             self._cache.write_soon(publication)
--- a/src/foldloom/fleet/registry.py
+++ b/src/foldloom/fleet/registry.py
@@ -110,12 +110,14 @@
         now_ms = monotonic_ms()
         if not self._catalog.merge(record, now_ms):
             return
-        WORKER_LOG.info(
-            "Worker {} of {} at {}: {}.",
-            record.worker,
-            record.service,
-            record.address,
-            record.state.value,
+        WORKER_LOG.event(
+            "worker.reported",
+            worker=record.worker,
+            service=record.service,
+            zone=record.zone,
+            address=record.address,
+            state=record.state.value,
+            sequence=record.sequence,
         )
         newest = self._catalog.get(record.worker)
         if newest is not None:
@@ -125,7 +127,7 @@
         """Take a worker's farewell."""
         if not self._catalog.remove(worker, monotonic_ms()):
             return
-        WORKER_LOG.info("Worker {} has left.", worker)
+        WORKER_LOG.event("worker.left", worker=worker)
         newest = self._catalog.get(worker)
         if newest is not None:
             await self._tell_zone(newest)
--- a/src/foldloom/jobs/spec.py
+++ b/src/foldloom/jobs/spec.py
@@ -87,3 +87,9 @@
 
     task: TaskId
     run: int
+
+    @property
+    def text(self) -> str:
+        """The run as logs name it: job, repeat, step, task, run."""
+        job_id, repeat, step, number = self.task
+        return f"{job_id}.{repeat}.{step}.{number}#{self.run}"
--- a/src/foldloom/logs.py
+++ b/src/foldloom/logs.py
@@ -1,51 +1,194 @@
 # SPDX-License-Identifier: MIT
-"""Log lines by logbook: short sentences, a fixed prefix a part, text or JSON."""
+"""Log lines by logbook: decisions as events with fields, other news as short sentences.
+
+Neither a slow reader nor a flood of events may hold a decision up: a kind of event has a rate,
+and lines wait in a bounded batch that a thread writes. What is left out is counted and told.
+"""
 
 from __future__ import annotations
 
+import os
 import sys
+import threading
+import time
+from collections import deque
+from pathlib import Path
+from typing import Any, NamedTuple
 
 import logbook
 import msgspec
 
 from foldloom.settings import LogSettings
 
-ENTRY_LOG = logbook.Logger("entry")
-CLAIM_LOG = logbook.Logger("claim")
-PLACE_LOG = logbook.Logger("place")
-CONTROLLER_LOG = logbook.Logger("controller")
-CONFIG_LOG = logbook.Logger("config")
-WORKER_LOG = logbook.Logger("worker")
-PEER_LOG = logbook.Logger("peer")
-
-_TEXT_FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel}: {record.message}"
-)
-
-
-def _json_line(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-    """Return *record* as one JSON object on one line."""
-    fields = {
-        "time": record.time.isoformat(),
-        "level": record.level_name,
-        "part": record.channel,
-        "message": record.message,
-        **{str(key): str(value) for key, value in (record.kwargs or {}).items()},
-    }
-    return msgspec.json.encode(fields).decode()
-
-
-def start_logging(settings: LogSettings) -> logbook.Handler:
-    """Send every part's log lines where *settings* says; return the handler."""
+EVENTS_PER_S = 200.0
+_BURST_EVENTS = 400.0
+_WRITE_EVERY_S = 0.1
+_LINES_MAX = 20_000
+_CLOSE_TIMEOUT_S = 0.5
+_PLAIN = (int, float, bool, str)
+
+
+class _Allowance(NamedTuple):
+    """How many events of a kind may be told now, as of a time, and how many were left out."""
+
+    events: float
+    as_of_s: float
+    left_out: int
+
+
+class EventLimits:
+    """A rate for each kind of event.
+
+    Args:
+        per_s: How many a second; twice as many at once.
+    """
+
+    def __init__(self, per_s: float = EVENTS_PER_S) -> None:
+        self._per_s = per_s
+        self._burst = per_s * _BURST_EVENTS / EVENTS_PER_S
+        self._allowances: dict[str, _Allowance] = {}
+
+    def admit(self, kind: str, now_s: float) -> int | None:
+        """Take one event of *kind*; return how many were left out before it, or ``None``."""
+        known = self._allowances.get(kind, _Allowance(self._burst, now_s, 0))
+        grown = known.events + (now_s - known.as_of_s) * self._per_s
+        events = min(self._burst, grown)
+        if events < 1:
+            self._allowances[kind] = _Allowance(events, now_s, known.left_out + 1)
+            return None
+        self._allowances[kind] = _Allowance(events - 1, now_s, 0)
+        return known.left_out
+
+
+_LIMITS = EventLimits()
+
+
+class PartLogger(logbook.Logger):  # type: ignore[misc]
+    """The logger of one part of the code."""
+
+    def event(self, kind: str, **fields: Any) -> None:
+        """Tell of a decision or of a changed belief, with what decided it, unless too often.
+
+        Args:
+            kind: ``thing.what-happened``.
+            fields: Ids, inputs, their age or version, and the outcome.
+        """
+        if self.disabled:
+            return
+        left_out = _LIMITS.admit(kind, time.monotonic())
+        if left_out is None:
+            return
+        if left_out:
+            fields["left_out"] = left_out
+        self.info(kind, **fields)
+
+
+ENTRY_LOG = PartLogger("entry")
+CLAIM_LOG = PartLogger("claim")
+PLACE_LOG = PartLogger("place")
+CONTROLLER_LOG = PartLogger("controller")
+CONFIG_LOG = PartLogger("config")
+WORKER_LOG = PartLogger("worker")
+PEER_LOG = PartLogger("peer")
+
+
+class BatchHandler(logbook.Handler):  # type: ignore[misc]
+    """Keep lines and let a thread write them; lines beyond the bound are dropped and counted.
+
+    Args:
+        descriptor: The open file that takes the lines.
+        level: The least level.
+        form: ``text`` or ``json``.
+        box: What this process is called in JSON lines.
+        lines_max: How many lines may wait.
+    """
+
+    def __init__(
+        self, descriptor: int, level: int, form: str, box: str = "", lines_max: int = _LINES_MAX
+    ) -> None:
+        super().__init__(level, bubble=False)
+        self._descriptor = descriptor
+        self._is_json = form == "json"
+        self._box = box
+        self._lines_max = lines_max
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._is_closed = threading.Event()
+        self._thread = threading.Thread(target=self._write_batches, name="logs", daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Keep one line."""
+        if len(self._lines) >= self._lines_max:
+            self._dropped += 1
+            return
+        self._lines.append(self._json(record) if self._is_json else _text(record))
+
+    def close(self) -> None:
+        """Write what waits, unless the reader does not take it in time."""
+        self._is_closed.set()
+        self._thread.join(_CLOSE_TIMEOUT_S)
+
+    def _write_batches(self) -> None:
+        while not self._is_closed.wait(_WRITE_EVERY_S):
+            self._write()
+        self._write()
+
+    def _write(self) -> None:
+        # One at a time: another thread goes on adding lines meanwhile.
+        lines = [self._lines.popleft() for _ in range(len(self._lines))]
+        dropped, self._dropped = self._dropped, 0
+        if dropped:
+            lines.append(self._dropped_line(dropped))
+        if not lines:
+            return
+        data = ("\n".join(lines) + "\n").encode(errors="replace")
+        try:
+            while data:
+                data = data[os.write(self._descriptor, data) :]
+        except OSError:
+            # Nobody reads the lines any more; the work goes on.
+            return
+
+    def _json(self, record: logbook.LogRecord) -> str:
+        fields: dict[str, Any] = {
+            "time": record.time.isoformat(),
+            "level": record.level_name,
+            "box": self._box,
+            "part": record.channel,
+        }
+        kwargs = record.kwargs or {}
+        fields["event" if kwargs else "message"] = record.message
+        for key, value in kwargs.items():
+            fields[str(key)] = value if isinstance(value, _PLAIN) else str(value)
+        return msgspec.json.encode(fields).decode()
+
+    def _dropped_line(self, dropped: int) -> str:
+        if not self._is_json:
+            return f"logs: {dropped} lines were dropped."
+        fields = {"box": self._box, "part": "logs", "event": "logs.dropped", "lines": dropped}
+        return msgspec.json.encode(fields).decode()
+
+
+def _text(record: logbook.LogRecord) -> str:
+    """Return *record* as a sentence with its fields behind it."""
+    fields = "".join(f" {key}={value}" for key, value in (record.kwargs or {}).items())
+    moment = f"{record.time:%Y-%m-%dT%H:%M:%S.%f}"
+    return f"{moment} {record.level_name} {record.channel}: {record.message}{fields}"
+
+
+def start_logging(settings: LogSettings, box: str = "") -> logbook.Handler:
+    """Send every part's log lines where *settings* says; return the handler.
+
+    Args:
+        settings: Level, form, and the file if it is not standard output.
+        box: What this process is called.
+    """
     level = logbook.lookup_level(settings.level)
-    handler: logbook.StreamHandler
+    descriptor = sys.stdout.fileno()
     if settings.file:
-        handler = logbook.FileHandler(settings.file, level=level, bubble=False)
-    else:
-        handler = logbook.StreamHandler(sys.stderr, level=level, bubble=False)
-    if settings.format == "json":
-        handler.formatter = _json_line
-    else:
-        handler.format_string = _TEXT_FORMAT
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        descriptor = os.open(Path(settings.file), flags, 0o644)
+    handler = BatchHandler(descriptor, level, settings.format, box)
     handler.push_application()
     return handler
--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -75,6 +75,15 @@
                 for batch, order in tie.take_lost():
                     # Its owner can't be asked any more, and may have started it.
                     self._maybe_started.add(batch.template.job_id)
+                    PLACE_LOG.event(
+                        "run.lost",
+                        job=batch.template.job_id,
+                        task=order.number,
+                        run=order.run,
+                        zone=tie.zone,
+                        owner=tie.owner.box,
+                        silent_ms=int(tie.silent_ms),
+                    )
                     end = RunEnd(RunId(batch.task(order), order.run), EndCause.LOST)
                     batch.ends.put_nowait(end)
 
@@ -158,7 +167,9 @@
             await asyncio.sleep(_OWNER_CHECK_S)
         if tie is None or batch.template.job_id not in self._jobs:
             return
-        PLACE_LOG.info("Job {}: run {} moves to zone {}.", batch.template.job_id, order, tie.zone)
+        PLACE_LOG.event(
+            "run.moved", job=batch.template.job_id, task=order.number, run=order.run, zone=tie.zone
+        )
         target = self._batch(tie, batch.template, batch.began_ms, batch.ends)
         await tie.submit(target, [moved])
 
--- a/src/foldloom/owners/elector.py
+++ b/src/foldloom/owners/elector.py
@@ -145,7 +145,7 @@
             self._fenced_count = 0
         self._fenced_ms = now_ms
         self._fenced_count += 1
-        PLACE_LOG.warning("Worker {} knows a token above {}.", worker, owner.token)
+        PLACE_LOG.event("owner.fenced", worker=worker, token=owner.token)
         token = token_above(owner.token, self._fenced_count, self._box_bits)
         self._step_down()
         # Somebody else may own the zone. The beats tell; if there are none, claim above it.
@@ -193,7 +193,14 @@
         token = next_token(highest, time.time(), self._box_bits)
         own = self._view.own
         record = OwnerRecord(self._zone, token, own.box, own.life)
-        PLACE_LOG.info("Own zone {} with token {}.", self._zone, token)
+        PLACE_LOG.event(
+            "owner.claimed",
+            zone=self._zone,
+            token=token,
+            before=self._heard.box,
+            before_token=self._heard.token,
+            silent_ms=int(self.silent_ms),
+        )
         self._heard = record
         self._heard_ms = monotonic_ms()
         self._view.hear_owner(record)
@@ -203,7 +210,7 @@
     def _step_down(self) -> None:
         if self._owner is None:
             return
-        PLACE_LOG.info("Own zone {} no longer.", self._zone)
+        PLACE_LOG.event("owner.left", zone=self._zone, token=self._owner.token)
         self._owner.close()
         self._owner = None
 
@@ -218,7 +225,9 @@
         if self._owner is not None and beat.owner.token > self._owner.token:
             self._step_down()
         if beat.owner.token > self._heard.token:
-            PLACE_LOG.info("Zone {} is owned by {}.", self._zone, beat.owner.box)
+            PLACE_LOG.event(
+                "owner.heard", zone=self._zone, owner=beat.owner.box, token=beat.owner.token
+            )
         self._heard = beat.owner
         self._heard_ms = monotonic_ms()
         self._view.hear_owner(beat.owner)
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -170,6 +170,10 @@
         """How many runs are known."""
         return len(self._runs)
 
+    def speed_of(self, worker: str) -> float:
+        """Return how fast *worker* is thought to be, relative to the middle one."""
+        return self._speeds.speed_of(worker)
+
     def run_of(self, task: TaskId) -> Run | None:
         """Return the present run of *task*, if any."""
         return self._runs.get(task)
--- a/src/foldloom/owners/tie.py
+++ b/src/foldloom/owners/tie.py
@@ -136,12 +136,14 @@
 
     async def _send_again(self, batch: Batch, orders: list[RunOrder], right_ms: float) -> None:
         reply = await self._send(batch, orders, right_ms)
-        PLACE_LOG.info(
-            "Job {}: {} runs handed to owner {}: {}.",
-            batch.template.job_id,
-            len(orders),
-            self._owner.box,
-            reply.status.name,
+        PLACE_LOG.event(
+            "runs.resumed",
+            job=batch.template.job_id,
+            runs=len(orders),
+            owner=self._owner.box,
+            token=self._owner.token,
+            old_right_ms=int(right_ms),
+            outcome=reply.status.name.lower(),
         )
 
     async def _send(self, batch: Batch, orders: list[RunOrder], old_right_ms: float) -> SubmitReply:
--- a/src/foldloom/owners/worker_link.py
+++ b/src/foldloom/owners/worker_link.py
@@ -106,7 +106,7 @@
         self.clock.note(reply.clock_ms, now_ms)
         self.heard_ms = now_ms
         if self._is_silent:
-            WORKER_LOG.info("Worker {} answers again.", self.record.worker)
+            WORKER_LOG.event("worker.answers", worker=self.record.worker)
         self._is_silent = False
         self._has_lapsed = False
         fresh = tuple(end for end in reply.ended if end.number > self._seen)
@@ -116,11 +116,12 @@
 
     def _fall_silent(self, reply: HoldReply) -> None:
         if not self._is_silent:
-            WORKER_LOG.warning(
-                "Worker {} at {} does not answer: {}.",
-                self.record.worker,
-                self.record.address,
-                reply.detail,
+            WORKER_LOG.event(
+                "worker.silent",
+                worker=self.record.worker,
+                address=self.record.address,
+                detail=reply.detail,
+                heard_ms_ago=int(monotonic_ms() - self.heard_ms),
             )
         self._is_silent = True
         self._owner.note_silent(self.record.worker)
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -24,7 +24,7 @@
     WaitingGroups,
 )
 from foldloom.owners.sessions import Sessions
-from foldloom.owners.state import ClaimAction, OwnerState, StartAction, StopAction
+from foldloom.owners.state import ClaimAction, EndAction, OwnerState, StartAction, StopAction
 from foldloom.owners.worker_link import SUSPECT_AFTER_MS, WorkerLink
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.scheduling.runs import HolderId
@@ -154,6 +154,7 @@
         if not self._sessions.has_right(holder, now_ms):
             return SubmitReply(SubmitStatus.NOT_OWNER, "no session")
         reply = self._state.submit(holder, message, now_ms)
+        self._tell_submit(sender, message, reply)
         self._act()
         return reply
 
@@ -229,6 +230,25 @@
         """Note that *worker* has seen a higher token."""
         self._on_fenced(worker)
 
+    def _tell_submit(self, sender: str, message: SubmitRuns, reply: SubmitReply) -> None:
+        load = self.load
+        PLACE_LOG.event(
+            "runs.queued" if reply.status is SubmitStatus.TAKEN else "runs.refused",
+            job=message.job_id,
+            zone=self._record.zone,
+            token=self.token,
+            sender=sender,
+            runs=len(message.orders),
+            is_resumed=any(order.is_resumed for order in message.orders),
+            is_moved=any(order.is_moved for order in message.orders),
+            elapsed_ms=message.objective.elapsed_ms,
+            deadline_in_ms=message.deadline_ms,
+            free_milli=load.free_milli,
+            queued_milli=load.queued_milli,
+            reason=reply.reason,
+            retry_after_ms=reply.retry_after_ms,
+        )
+
     async def _beat(self) -> None:
         while True:
             beat = OwnerBeat(
@@ -284,7 +304,11 @@
     def _end_lapsed_sessions(self, now_ms: float) -> None:
         """Stop the runs of boxes whose right is over, counted from when it was over."""
         for right in self._sessions.end_lapsed(now_ms):
-            WORKER_LOG.info("The session of {} has ended.", right.holder.box)
+            WORKER_LOG.event(
+                "session.ended",
+                sender=right.holder.box,
+                over_for_ms=int(now_ms - right.ended_ms),
+            )
             self._state.end_session(right.holder, right.ended_ms)
 
     def _follow_catalog(self, now_ms: float) -> None:
@@ -321,7 +345,9 @@
             return
         for worker, link in self._links.items():
             if link.has_lapsed(now_ms):
-                WORKER_LOG.warning("The lease of {} has lapsed.", worker)
+                WORKER_LOG.event(
+                    "worker.lapsed", worker=worker, silent_ms=int(now_ms - link.heard_ms)
+                )
                 self._state.note_lapsed(worker, now_ms)
             if link.is_silent and now_ms - link.heard_ms > _FORGET_SILENT_MS:
                 self._catalog.forget(worker)
@@ -338,9 +364,24 @@
         for claim in self._state.take_claims():
             self._spawn(self._claim(claim))
         for action in self._state.take_ends():
+            self._tell_end(action)
             self._sessions.tell(action.holder, action.end)
         self._has_waiting.set()
 
+    def _tell_end(self, action: EndAction) -> None:
+        end = action.end
+        PLACE_LOG.event(
+            "run.ended",
+            job=end.run_id.task.job_id,
+            run=end.run_id.text,
+            worker=end.worker,
+            cause=end.cause.name.lower(),
+            ran_ms=end.ran_ms,
+            moved_to=end.moved_to,
+            token=self.token,
+            holder=action.holder.box,
+        )
+
     async def _claim(self, claim: ClaimAction) -> None:
         """Ask another zone's owner for runs that wait there."""
         owner = self._view.owner_of(claim.zone)
@@ -368,7 +409,7 @@
         if link is None or until_ms == 0 or self._is_closed:
             self._state.note_start(action.run_id, action.worker, CallOutcome.LATE, now_ms)
             return
-        PLACE_LOG.info("Run {} goes to {}.", action.run_id, action.worker)
+        self._tell_start(action, until_ms, now_ms)
         self._metrics.count("runs.started")
         order = StartOrder(action.run_id, action.text, self.token, until_ms)
         doubt = asyncio.get_running_loop().call_later(
@@ -380,12 +421,13 @@
         if reply.clock_ms:
             link.clock.note(reply.clock_ms, now_ms)
         if reply.outcome is not CallOutcome.DONE:
-            PLACE_LOG.info(
-                "Run {} on {}: {} {}.",
-                action.run_id,
-                action.worker,
-                reply.outcome.value,
-                reply.detail,
+            PLACE_LOG.event(
+                "run.not_started",
+                job=action.run_id.task.job_id,
+                run=action.run_id.text,
+                worker=action.worker,
+                outcome=reply.outcome.value,
+                detail=reply.detail,
             )
             self._metrics.count(f"starts.{reply.outcome.value}")
         if reply.outcome is CallOutcome.FENCED:
@@ -393,10 +435,34 @@
         self._state.note_start(action.run_id, action.worker, reply.outcome, now_ms)
         self._act()
 
+    def _tell_start(self, action: StartAction, until_ms: int, now_ms: float) -> None:
+        run = self._state.run_of(action.run_id.task)
+        candidate = self._state.candidates.get(action.worker)
+        if run is None or candidate is None:
+            return
+        PLACE_LOG.event(
+            "run.placed",
+            job=action.run_id.task.job_id,
+            run=action.run_id.text,
+            worker=action.worker,
+            token=self.token,
+            until_ms=until_ms,
+            job_age_ms=int(now_ms - run.spec.began_ms),
+            speed=round(self._state.speed_of(action.worker), 2),
+            free_milli=candidate.room.free.cpu_milli,
+        )
+
     async def _stop(self, action: StopAction) -> None:
         link = self._links.get(action.worker)
         if link is None or self._is_closed:
             return
+        PLACE_LOG.event(
+            "run.stopped",
+            job=action.run_id.task.job_id,
+            run=action.run_id.text,
+            worker=action.worker,
+            token=self.token,
+        )
         self._metrics.count("runs.stopped")
         reply = await self.calls.stop_run(link.record, action.run_id, self.token)
         if reply.outcome is CallOutcome.FENCED:
--- a/src/foldloom/settings.py
+++ b/src/foldloom/settings.py
@@ -96,7 +96,7 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where log lines go: a file, or standard error if ``file`` is empty."""
+    """Where log lines go: a file, or standard output if ``file`` is empty."""
 
     level: str = "INFO"
     format: str = "text"
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -135,15 +135,23 @@
         """Return what a machine's program has logged."""
         return (self._folder / f"{name}.log").read_text()
 
+    @property
+    def logs(self) -> list[str]:
+        """The files that the programs log to."""
+        return [str(self._folder / f"{name}.log") for name in self._ips]
+
+    def events(self, name: str, kind: str) -> list[dict[str, Any]]:
+        """Return the events of a kind that a machine's program has logged."""
+        lines = (msgspec.json.decode(line) for line in self.log_of(name).splitlines())
+        return [line for line in lines if line.get("event") == kind]
+
     def owner(self) -> str:
         """Return the entry process that claimed the zone last."""
-        claims = {
-            name: max(
-                (int(line.rsplit(" ", 1)[1].rstrip(".")) for line in self._claims(name)), default=0
-            )
+        tokens = {
+            name: max((line["token"] for line in self.events(name, "owner.claimed")), default=0)
             for name in self.entries
         }
-        return max(claims, key=lambda name: claims[name])
+        return max(tokens, key=lambda name: tokens[name])
 
     async def configure(self, version: int) -> bool:
         """Send a configuration; return whether it was acknowledged."""
@@ -208,9 +216,6 @@
         fields = msgspec.json.decode(content) if content.startswith(b"{") else {}
         return Answer(response.status, fields, took_ms)
 
-    def _claims(self, name: str) -> list[str]:
-        return [line for line in self.log_of(name).splitlines() if " with token " in line]
-
     def _settings(self, name: str, is_first: bool) -> str:
         ip, peer = self._ips[name], self._ports["peer"]
         lines = [
--- /dev/null
+++ b/tests/test_cli_explain.py
@@ -0,0 +1,80 @@
+# SPDX-License-Identifier: MIT
+"""``foldloom explain``: from an id to its cause, over the logs of several boxes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from foldloom.cli.explain import explain, life_text, read_lines
+from foldloom.cli.main import Commands
+from foldloom.exceptions import CommandError
+
+_JOB = "c0ffee0000000001"
+
+
+def _line(at_s: int, box: str, event: str, **fields: Any) -> bytes:
+    time = f"2026-12-02T10:00:{at_s:02d}.000000"
+    return msgspec.json.encode({"time": time, "box": box, "event": event, **fields}) + b"\n"
+
+
+@pytest.fixture
+def logs(tmp_path: Path) -> list[str]:
+    """Return the logs of an entry box and of two owners, one of which was lost."""
+    entry = [
+        _line(1, "e1", "job.accepted", job=_JOB, tasks=1),
+        _line(1, "e1", "job.accepted", job="dead", tasks=1),
+        _line(4, "e1", "runs.resumed", job=_JOB, runs=1, owner="o2"),
+        _line(6, "e1", "job.ended", job=_JOB, outcome="expired", reason="too late"),
+    ]
+    first = [
+        _line(2, "o1", "run.placed", job=_JOB, run=f"{_JOB}.0.0.0#1", worker="w1"),
+        b"edge-1 | not an event {\n",
+    ]
+    second = [
+        b"o2 | " + _line(3, "o2", "owner.claimed", zone="z", token=2),
+        _line(5, "o2", "run.ended", job=_JOB, run=f"{_JOB}.0.0.0#1", cause="lost", worker="w1"),
+        _line(9, "o2", "worker.silent", worker="w9"),
+    ]
+    files = []
+    for name, lines in (("e1", entry), ("o1", first), ("o2", second)):
+        path = tmp_path / name
+        path.write_bytes(b"".join(lines))
+        files.append(str(path))
+    return files
+
+
+class TestExplain:
+    """One request across boxes."""
+
+    def test_in_order_with_cause(self, logs: list[str]) -> None:
+        """Its events and what its boxes believed meanwhile, in order of time."""
+        life = explain(_JOB, read_lines(logs))
+        assert [line.event for line in life.lines] == [
+            "job.accepted",
+            "run.placed",
+            "owner.claimed",
+            "runs.resumed",
+            "run.ended",
+            "job.ended",
+        ]
+        assert life.outcome == "expired"
+        assert life.cause == "resumed at owner o2; too late"
+        assert life_text(life).endswith("outcome: expired\ncause: resumed at owner o2; too late")
+
+    def test_first_part_of_an_id(self, logs: list[str]) -> None:
+        """The first digits are enough."""
+        assert explain("c0ffee", read_lines(logs)).job == _JOB
+
+    def test_command(self, logs: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+        """JSON on demand; an id that no log names is a failure, no log at all is wrong usage."""
+        Commands().explain(_JOB, *logs, json=True)
+        assert msgspec.json.decode(capsys.readouterr().out)["outcome"] == "expired"
+        with pytest.raises(CommandError) as unknown:
+            Commands().explain("beef", *logs)
+        with pytest.raises(CommandError) as usage:
+            Commands().explain(_JOB)
+        assert (unknown.value.exit_code, usage.value.exit_code) == (1, 2)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,79 @@
+# SPDX-License-Identifier: MIT
+"""Log lines: events as JSON, a rate for each kind, and a reader that does not read."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+import logbook
+import msgspec
+
+from foldloom.logs import PLACE_LOG, BatchHandler, EventLimits, start_logging
+from foldloom.settings import LogSettings
+
+
+def _written(path: Path) -> list[dict[str, Any]]:
+    return [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+
+
+class TestEvents:
+    """What a line holds."""
+
+    def test_json_fields_keep_their_types(self, tmp_path: Path) -> None:
+        """Ids, numbers and truth values come out as they went in."""
+        path = tmp_path / "log"
+        handler = start_logging(LogSettings(format="json", file=str(path)), "b1")
+        PLACE_LOG.event("run.placed.test", job="ab", age_ms=3, is_moved=False)
+        handler.pop_application()
+        handler.close()
+        line = _written(path)[0]
+        assert (line["box"], line["part"], line["event"]) == ("b1", "place", "run.placed.test")
+        assert (line["job"], line["age_ms"], line["is_moved"]) == ("ab", 3, False)
+
+    def test_text_form(self, tmp_path: Path) -> None:
+        """The same event reads as a sentence with its fields behind it."""
+        path = tmp_path / "log"
+        handler = start_logging(LogSettings(file=str(path)), "b1")
+        PLACE_LOG.event("run.text.test", job="ab", age_ms=3)
+        handler.pop_application()
+        handler.close()
+        assert path.read_text().endswith("place: run.text.test job=ab age_ms=3\n")
+
+
+class TestLimits:
+    """A flood of one kind is cut, counted, and leaves other kinds alone."""
+
+    def test_what_was_left_out_is_told(self) -> None:
+        """The next event that is told says how many were not."""
+        limits = EventLimits(per_s=1.0)
+        assert [limits.admit("a", 0.0) for _ in range(4)] == [0, 0, None, None]
+        assert limits.admit("b", 0.0) == 0
+        assert limits.admit("a", 1.5) == 2
+        assert limits.admit("a", 3.0) == 0
+
+    def test_a_reader_that_does_not_read(self) -> None:
+        """Logging goes on at once while a pipe is full; what is dropped is counted."""
+        reading, writing = os.pipe()
+        os.set_blocking(reading, False)
+        handler = BatchHandler(writing, logbook.INFO, "json", "b1", lines_max=100)
+        began = time.monotonic()
+        with handler.applicationbound():
+            for number in range(5_000):
+                PLACE_LOG.info("x" * 500, number=number)
+                if number == 1_000:
+                    time.sleep(0.15)
+        assert time.monotonic() - began < 5.0
+        data = b""
+        deadline = time.monotonic() + 5.0
+        while b"logs.dropped" not in data and time.monotonic() < deadline:
+            try:
+                data += os.read(reading, 1_000_000)
+            except BlockingIOError:
+                time.sleep(0.02)
+        assert b"logs.dropped" in data
+        handler.close()
+        os.close(reading)
+        os.close(writing)
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from foldloom.cli.explain import explain, read_lines
 from platform_system import Answer, PlatformSystem, job_id, play, steps
 
 _OWNER_LOST_MS = 3_000
@@ -173,6 +174,29 @@
         play(scenario, tmp_path)
 
 
+class TestExplained:
+    """A request's life is found in the logs, also across a lost owner."""
+
+    def test_from_id_to_cause(self, tmp_path: Path) -> None:
+        """A job in flight when the owner dies: accepted, placed, resumed elsewhere, ended."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            owner = system.owner()
+            other = next(name for name in system.entries if name != owner)
+            running = asyncio.create_task(system.submit(other, 1, steps(2, ms=900)))
+            await asyncio.sleep(0.4)
+            await system.kill(owner)
+            assert (await running).status == 200
+            await asyncio.sleep(0.3)
+            life = explain(job_id(1), read_lines(system.logs))
+            told = [line.event for line in life.lines]
+            assert (told[0], told[-1], life.outcome) == ("job.accepted", "job.ended", "completed")
+            assert {"run.placed", "owner.claimed", "runs.resumed", "run.ended"} <= set(told)
+            assert "resumed at owner" in life.cause
+
+        play(scenario, tmp_path)
+
+
 class TestDarkControllers:
     """Controllers are not on the path of a job that need not be kept."""
 
