A late copy of an order starts nothing; a lapsed right is told to its box

An order that got no reply in 150 ms is sent again. If the run was given to another zone between the two copies, its owner had forgotten it and took the second copy for a new run; and a "moved" that is told twice moved a run again that had come back. Reading on: an owner whose right lapses for want of echoes lets go of what it was handed, and the box was never told; its jobs waited for their deadline.

Ruled out: two owners of one zone (tokens of both zones did not change); the claim itself (it is asked once, and what is granted is taken out at once).

Change: what a box hands over is numbered; a copy of an order that is over is ignored, an end names the handing over that it is about, and what is remembered of a task says whether it ever started. After a lapse the owner tells the box first (SessionBegan), which hands over again what is open.

--- a/benchmarks/zone_sim.py
+++ b/benchmarks/zone_sim.py
@@ -315,7 +315,9 @@
             self._act(zone)
 
     def _claim(self, zone: str, claim: ClaimAction) -> None:
-        granted = self.owners[claim.zone].release(claim.group, len(claim.reservations), zone)
+        granted = self.owners[claim.zone].release(
+            claim.group, len(claim.reservations), zone, self.now
+        )
         self.counts["claimed"] += granted
         self._act(claim.zone)
         self.at(self.now + _HOP_MS, self.owners[zone].note_claimed, claim, granted)
--- a/src/foldloom/owners/batches.py
+++ b/src/foldloom/owners/batches.py
@@ -44,6 +44,9 @@
         order = self._open.get(end.run_id.task)
         if order is None or end.run_id.run < order.run:
             return None
+        if end.hand_over and end.hand_over != order.hand_over:
+            # It tells of an earlier handing over; the run came back since.
+            return None
         self.has_started = self.has_started or end.has_started
         return self._open.pop(end.run_id.task)
 
--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Coroutine
 from typing import Any
 
@@ -18,6 +19,8 @@
     RunEnd,
     RunOrder,
     RunsEnded,
+    SessionBegan,
+    SessionNoted,
     SubmitReply,
     SubmitRuns,
 )
@@ -42,12 +45,14 @@
         self._view = view
         self._network = network
         self._timings = timings
-        self._home = OwnerTie(view.own.zone, view, network, timings)
+        self._hand_overs = itertools.count(1)
+        self._home = OwnerTie(view.own.zone, view, network, timings, self._hand_overs)
         self._jobs: set[str] = set()
         self._maybe_started: set[str] = set()
         self._ties: dict[str, OwnerTie] = {view.own.zone: self._home}
         self._tasks: set[asyncio.Task[Any]] = set()
         network.on(RunsEnded, self._on_ends)
+        network.on(SessionBegan, self._on_session)
 
     @property
     def silent_ms(self) -> float:
@@ -63,7 +68,9 @@
         """Take a beat of any zone's owner."""
         tie = self._ties.get(beat.owner.zone)
         if tie is None:
-            tie = OwnerTie(beat.owner.zone, self._view, self._network, self._timings)
+            tie = OwnerTie(
+                beat.owner.zone, self._view, self._network, self._timings, self._hand_overs
+            )
             self._ties[beat.owner.zone] = tie
         tie.hear_beat(beat, published_version)
 
@@ -138,6 +145,12 @@
                 return batch
         return Batch(template, ends, began_ms)
 
+    def _on_session(self, _sender: str, message: SessionBegan) -> SessionNoted:
+        tie = self._ties.get(message.zone)
+        if tie is not None and tie.owner.token == message.token:
+            tie.reopen()
+        return SessionNoted()
+
     def _on_ends(self, _sender: str, message: RunsEnded) -> EndsNoted:
         tie = self._ties.get(message.zone)
         for end in message.ends:
--- a/src/foldloom/owners/messages.py
+++ b/src/foldloom/owners/messages.py
@@ -21,6 +21,8 @@
         run: Counts the task's starts.
         is_resumed: Whether it may have been handed to an earlier owner.
         is_moved: Whether another zone's owner gave it up for room here.
+        hand_over: Counts what its box hands over; the same in each copy of one message, 0 if it
+            is not counted.
     """
 
     step: int
@@ -28,6 +30,7 @@
     run: int
     is_resumed: bool = False
     is_moved: bool = False
+    hand_over: int = 0
 
 
 class Objective(NamedTuple):
@@ -140,6 +143,7 @@
         checkpoint: Where it could go on from.
         moved_to: With ``MOVED``, the zone.
         has_started: Whether a run of the task may ever have started here.
+        hand_over: The number under which its box has handed it over, 0 if it is not counted.
     """
 
     run_id: RunId
@@ -149,6 +153,7 @@
     checkpoint: str = ""
     moved_to: str = ""
     has_started: bool = True
+    hand_over: int = 0
 
 
 class RunsEnded(NamedTuple):
@@ -162,6 +167,21 @@
     """The ends are known."""
 
 
+class SessionBegan(NamedTuple):
+    """A zone's owner was granted its right again after it had lapsed.
+
+    It has let go of all that the box had handed to it; what is still open there must be handed
+    over again.
+    """
+
+    zone: str
+    token: int
+
+
+class SessionNoted(NamedTuple):
+    """What is open is handed over again."""
+
+
 class WaitingGroups(NamedTuple):
     """An owner tells the owners of other zones what waits for room in its own."""
 
@@ -194,6 +214,8 @@
         WaitingGroups,
         ClaimRuns,
         ClaimReply,
+        SessionBegan,
+        SessionNoted,
     ),
     start=100,
 ):
--- a/src/foldloom/owners/sessions.py
+++ b/src/foldloom/owners/sessions.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from foldloom.exceptions import PeerUnreachableError
-from foldloom.owners.messages import RunEnd, RunsEnded
+from foldloom.owners.messages import RunEnd, RunsEnded, SessionBegan
 from foldloom.peers.wire import PeerNetwork
 from foldloom.scheduling.runs import HolderId
 
@@ -27,14 +27,20 @@
     Args:
         holder: The box's life.
         zone: The owner's zone.
+        token: The owner's token.
         network: The peers.
+        is_renewed: Whether a right of the same life has lapsed before.
     """
 
-    def __init__(self, holder: HolderId, zone: str, network: PeerNetwork) -> None:
+    def __init__(
+        self, holder: HolderId, zone: str, token: int, network: PeerNetwork, is_renewed: bool
+    ) -> None:
         self.holder = holder
         self.right_until_ms = 0.0
         self._zone = zone
+        self._token = token
         self._network = network
+        self._is_renewed = is_renewed
         self._untold: list[RunEnd] = []
         self._has_untold = asyncio.Event()
 
@@ -45,12 +51,19 @@
 
     async def run(self) -> None:
         """Tell the box of ends, each until it is acknowledged, until cancelled."""
+        while self._is_renewed:
+            try:
+                message = SessionBegan(self._zone, self._token)
+                await self._network.ask(self.holder.box, message, _ACK_TIMEOUT_MS)
+                self._is_renewed = False
+            except PeerUnreachableError:
+                continue
         while True:
             await self._has_untold.wait()
             ends = self._untold[:_ENDS_AT_ONCE]
             try:
-                message = RunsEnded(self._zone, ends)
-                await self._network.ask(self.holder.box, message, _ACK_TIMEOUT_MS)
+                told = RunsEnded(self._zone, ends)
+                await self._network.ask(self.holder.box, told, _ACK_TIMEOUT_MS)
             except PeerUnreachableError:
                 continue
             del self._untold[: len(ends)]
@@ -70,16 +83,19 @@
 
     Args:
         zone: The owner's zone.
+        token: The owner's token.
         network: The peers.
         session_ms: How long an echo grants the right.
     """
 
-    def __init__(self, zone: str, network: PeerNetwork, session_ms: float) -> None:
+    def __init__(self, zone: str, token: int, network: PeerNetwork, session_ms: float) -> None:
         self._zone = zone
+        self._token = token
         self._network = network
         self._session_ms = session_ms
         self._sessions: dict[HolderId, Session] = {}
         self._tasks: dict[HolderId, asyncio.Task[None]] = {}
+        self._lapsed: set[HolderId] = set()
 
     def has_right(self, holder: HolderId, now_ms: float) -> bool:
         """Return whether runs of *holder* may be started and kept now."""
@@ -97,7 +113,8 @@
         """Take an echo of the beat sent at *beat_ms*, own clock."""
         session = self._sessions.get(holder)
         if session is None:
-            session = Session(holder, self._zone, self._network)
+            is_renewed = holder in self._lapsed
+            session = Session(holder, self._zone, self._token, self._network, is_renewed)
             self._sessions[holder] = session
             self._tasks[holder] = asyncio.create_task(session.run())
         session.right_until_ms = max(session.right_until_ms, beat_ms + self._session_ms)
@@ -116,10 +133,12 @@
             if now_ms >= session.right_until_ms
         ]
         self._end(right.holder for right in lapsed)
+        self._lapsed.update(right.holder for right in lapsed)
         return lapsed
 
     def end_other_lives(self, holder: HolderId) -> list[HolderId]:
         """End the sessions of earlier lives of a box and return them."""
+        self._lapsed = {one for one in self._lapsed if one.box != holder.box or one == holder}
         earlier = [one for one in self._sessions if one.box == holder.box and one != holder]
         self._end(earlier)
         return earlier
--- a/src/foldloom/owners/state.py
+++ b/src/foldloom/owners/state.py
@@ -98,11 +98,21 @@
 
 
 class _Past(NamedTuple):
-    """The last run of a task, when it ended, and how if a later owner should tell."""
+    """A task that is not known any more.
+
+    Args:
+        number: Its last run.
+        ended_ms: When that ended or was let go of.
+        end: How it ended, if a later owner should tell.
+        has_started: Whether a run of it may ever have started.
+        hand_overs: Under which number each box has handed it over last.
+    """
 
     number: int
     ended_ms: float
     end: RunEnd | None
+    has_started: bool
+    hand_overs: dict[HolderId, int]
 
 
 def _spec_of(message: SubmitRuns, now_ms: float) -> RunSpec:
@@ -218,7 +228,9 @@
     def cancel(self, holder: HolderId, job_id: str, now_ms: float) -> bool:
         """Drop what *holder* wants of a job; return whether any run of it may have started."""
         self._cancelled[holder, job_id] = now_ms
-        has_started = any(task.job_id == job_id for task in self._past)
+        has_started = any(
+            task.job_id == job_id and past.has_started for task, past in self._past.items()
+        )
         for task in list(self._tasks_of_job.get(job_id, ())):
             run = self._runs[task]
             has_started = has_started or run.was_ordered or run.state is not RunState.QUEUED
@@ -245,7 +257,7 @@
         """Return what the owners of other zones should know of this queue."""
         return self._waiting.summaries(self._policy, now_ms, _TOLD_GROUPS)
 
-    def release(self, key: GroupId, runs: int, zone: str) -> int:
+    def release(self, key: GroupId, runs: int, zone: str, now_ms: float) -> int:
         """Give up to *runs* of a group to another zone's owner; return how many."""
         group = self._waiting.get(key)
         if group is None:
@@ -254,8 +266,9 @@
         leaving = list(group.waiting.values())[-runs:]
         for run in leaving:
             end = RunEnd(run.run_id, EndCause.MOVED, moved_to=zone, has_started=run.was_ordered)
-            self._ends.extend(EndAction(holder, end) for holder in run.holders)
+            self._tell_holders(run, end)
             self._forget(run)
+            self._keep_past(run, now_ms)
         return len(leaving)
 
     def note_claimed(self, claim: ClaimAction, granted: int) -> None:
@@ -474,8 +487,9 @@
                 continue
             for run in list(group.waiting.values()):
                 end = RunEnd(run.run_id, EndCause.HOPELESS, has_started=run.was_ordered)
-                self._ends.extend(EndAction(holder, end) for holder in run.holders)
+                self._tell_holders(run, end)
                 self._forget(run)
+                self._keep_past(run, now_ms)
 
     def _judge_running(self, now_ms: float) -> None:
         """Learn from runs that take too long, and start those elsewhere that stand still."""
@@ -502,20 +516,23 @@
     ) -> None:
         known = self._runs.get(task)
         if known is not None:
-            known.holders.add(holder)
+            known.holders[holder] = max(order.hand_over, known.holders.get(holder, 0))
             return
         past = self._past.get(task)
+        if past is not None and 0 < order.hand_over <= past.hand_overs.get(holder, 0):
+            # A late copy of a message whose runs are over here, and may be elsewhere by now.
+            return
         told = None if past is None else past.end
         # An earlier run's end says nothing of a later one, unless the task is done.
         if told is not None and order.is_resumed and told.cause is EndCause.DONE:
-            self._ends.append(EndAction(holder, told))
+            self._ends.append(EndAction(holder, told._replace(hand_over=order.hand_over)))
             return
         number = order.run
         if past is not None:
             number = max(number, past.number + 1)
         state = RunState.TRACED if order.is_resumed else RunState.QUEUED
         run = Run(task, number, spec, state, now_ms)
-        run.holders.add(holder)
+        run.holders[holder] = order.hand_over
         run.traced_until = bound
         self._runs[task] = run
         self._tasks_of_job.setdefault(task.job_id, set()).add(task)
@@ -539,7 +556,7 @@
 
     def _let_go(self, holder: HolderId, task: TaskId, now_ms: float) -> None:
         run = self._runs[task]
-        run.holders.discard(holder)
+        run.holders.pop(holder, None)
         if run.holders:
             return
         if run.state in (RunState.QUEUED, RunState.TRACED):
@@ -595,7 +612,7 @@
             return
         told = RunEnd(end.run_id, _CAUSES[end.how], worker, 0, end.checkpoint)
         self._past.pop(task, None)
-        self._past[task] = _Past(end.run_id.run, now_ms, told)
+        self._past[task] = _Past(end.run_id.run, now_ms, told, True, {})
 
     def _compare(
         self, candidate: Candidate, present: set[RunId], looked_ms: float, now_ms: float
@@ -667,12 +684,25 @@
             run.enter(RunState.QUEUED, now_ms)
             self._waiting.add(run)
             return
-        end = RunEnd(run.run_id, cause, worker, ran_ms, checkpoint)
-        for holder in run.holders:
-            self._ends.append(EndAction(holder, end))
+        self._tell_holders(run, RunEnd(run.run_id, cause, worker, ran_ms, checkpoint))
         self._forget(run)
-        self._past.pop(run.task, None)
-        self._past[run.task] = _Past(run.number, now_ms, None)
+        self._keep_past(run, now_ms)
+
+    def _tell_holders(self, run: Run, end: RunEnd) -> None:
+        """Tell everyone who wants *run* of its end, under the number that each knows."""
+        self._ends.extend(
+            EndAction(holder, end._replace(hand_over=hand_over))
+            for holder, hand_over in run.holders.items()
+        )
+
+    def _keep_past(self, run: Run, now_ms: float) -> None:
+        """Remember a run that is known no more, so that no late message revives it."""
+        before = self._past.pop(run.task, None)
+        hand_overs = {} if before is None else before.hand_overs
+        has_started = run.was_ordered or (before is not None and before.has_started)
+        self._past[run.task] = _Past(
+            run.number, now_ms, None, has_started, hand_overs | run.holders
+        )
 
     def _learn(self, run: Run, ran_ms: float) -> None:
         """Learn from a run that is done, about its worker, its job and its queue."""
--- a/src/foldloom/owners/tie.py
+++ b/src/foldloom/owners/tie.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from foldloom.exceptions import PeerUnreachableError
@@ -36,15 +36,22 @@
         view: The other boxes.
         network: The peers.
         timings: Intervals and bounds.
+        hand_overs: Numbers for what is handed over; they rise.
     """
 
     def __init__(
-        self, zone: str, view: FleetView, network: PeerNetwork, timings: TimingSettings
+        self,
+        zone: str,
+        view: FleetView,
+        network: PeerNetwork,
+        timings: TimingSettings,
+        hand_overs: Iterator[int],
     ) -> None:
         self.zone = zone
         self.load = ZoneLoad()
         self._view = view
         self._network = network
+        self._hand_overs = hand_overs
         self._session_ms = float(timings.session_ms)
         self._gone_after_ms = gone_after_ms(timings.worker_lease_ms)
         self._owner = OwnerRecord(zone)
@@ -97,6 +104,7 @@
 
     async def submit(self, batch: Batch, orders: list[RunOrder]) -> SubmitReply:
         """Hand *orders* in; return once the owner has taken or refused them."""
+        orders = self._numbered(orders)
         batch.add(orders)
         batches = self._batches.setdefault(batch.template.job_id, [])
         if batch not in batches:
@@ -122,6 +130,22 @@
                 continue
         return True
 
+    def reopen(self) -> None:
+        """Hand everything open to the same owner again: it has let go of it meanwhile."""
+        for batches in self._batches.values():
+            for batch in batches:
+                # What was taken once is not refused now.
+                orders = [order._replace(is_moved=True) for order in batch.orders]
+                if not orders:
+                    continue
+                orders = self._numbered(orders)
+                batch.add(orders)
+                self._spawn(self._send_again(batch, orders, 0.0))
+
+    def _numbered(self, orders: list[RunOrder]) -> list[RunOrder]:
+        hand_over = next(self._hand_overs)
+        return [order._replace(hand_over=hand_over) for order in orders]
+
     def _resume(self, old_right_ms: float) -> None:
         """Hand everything open to a new owner, which looks whether it runs already."""
         for batches in self._batches.values():
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -91,7 +91,7 @@
         self._on_fenced = on_fenced
         self._catalog_age_ms = catalog_age_ms
         self._state = OwnerState(gone_after_ms(timings.worker_lease_ms))
-        self._sessions = Sessions(record.zone, network, timings.session_ms)
+        self._sessions = Sessions(record.zone, record.token, network, timings.session_ms)
         self._links: dict[str, WorkerLink] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -180,7 +180,7 @@
         """Give waiting runs to another zone's owner."""
         if self._is_closed:
             return ClaimReply(0)
-        released = self._state.release(message.group, message.runs, message.zone)
+        released = self._state.release(message.group, message.runs, message.zone, monotonic_ms())
         self._act()
         return ClaimReply(released)
 
--- a/src/foldloom/scheduling/runs.py
+++ b/src/foldloom/scheduling/runs.py
@@ -70,7 +70,8 @@
 
     ``began_ms`` is when this owner ordered the start (0: an earlier owner did);
     ``stop_known_ms`` when the worker confirmed an order to stop (0: not yet); ``was_ordered``
-    whether a start of the task was ever ordered here.
+    whether a start of the task was ever ordered here; ``holders`` who wants it, each with the
+    number under which it handed the run over last.
 
     Args:
         task: The task.
@@ -108,7 +109,7 @@
         self.stop_known_ms = 0.0
         self.stop_sent_ms = 0.0
         self.was_ordered = False
-        self.holders: set[HolderId] = set()
+        self.holders: dict[HolderId, int] = {}
         self.traced_until = TraceBound(0.0, 0.0)
 
     @property
--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -19,6 +19,7 @@
     RunEnd,
     RunOrder,
     RunsEnded,
+    SessionBegan,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
@@ -77,6 +78,11 @@
         template: SubmitRuns = submission(job_id=_JOB)
         return await self.client.submit(template, 0.0, self.ends, [RunOrder(0, 0, run)])
 
+    def handed_over(self) -> int:
+        """Return the number of the newest handing over."""
+        message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
+        return int(message.orders[0].hand_over)
+
     def end(self, cause: EndCause, zone: str = _HOME, **fields: Any) -> None:
         """Hear of the run's end."""
         end = RunEnd(RunId(TaskId(_JOB, 0, 0, 0), 1), cause, **fields)
@@ -87,6 +93,67 @@
     asyncio.run(test)
 
 
+class TestEnds:
+    """An end is about one handing over of a run."""
+
+    def test_a_repeated_move(self) -> None:
+        """A move that is told again after the run came back moves nothing."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            rig.beat(2, _OTHER)
+            await rig.submit()
+            first = rig.handed_over()
+            rig.end(EndCause.MOVED, moved_to=_OTHER, has_started=False, hand_over=first)
+            await asyncio.sleep(0.01)
+            second = rig.handed_over()
+            rig.end(EndCause.MOVED, _OTHER, moved_to=_HOME, has_started=False, hand_over=second)
+            await asyncio.sleep(0.01)
+            third = rig.handed_over()
+            assert first < second < third
+            rig.end(EndCause.MOVED, moved_to=_OTHER, has_started=False, hand_over=first)
+            await asyncio.sleep(0.01)
+            assert rig.handed_over() == third
+            rig.end(EndCause.DONE, hand_over=third)
+            assert rig.ends.get_nowait().cause is EndCause.DONE
+
+        _run(play())
+
+
+class TestLapsedRights:
+    """An owner whose right lapsed has let go of what it was handed."""
+
+    def test_what_is_open_is_handed_over_again(self) -> None:
+        """Under a new number, and so that it is not refused."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            first = rig.handed_over()
+            rig.network.handlers[SessionBegan]("10.0.0.1:1", SessionBegan(_HOME, 1))
+            await asyncio.sleep(0.01)
+            assert rig.handed_over() > first
+            assert rig.network.asked[-1].orders[0].is_moved
+
+        _run(play())
+
+    def test_of_an_owner_before(self) -> None:
+        """What an earlier owner says changes nothing."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(2)
+            await rig.submit()
+            first = rig.handed_over()
+            rig.network.handlers[SessionBegan]("10.0.0.1:1", SessionBegan(_HOME, 1))
+            await asyncio.sleep(0.01)
+            assert rig.handed_over() == first
+
+        _run(play())
+
+
 class TestGivingUp:
     """The verdict on a job that is given up."""
 
--- /dev/null
+++ b/tests/test_owners_sessions.py
@@ -0,0 +1,91 @@
+# SPDX-License-Identifier: MIT
+"""Rights that lapse and come back: the box must hear that its runs were let go of."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from foldloom.exceptions import PeerUnreachableError
+from foldloom.jobs.spec import RunId, TaskId
+from foldloom.owners.messages import EndCause, EndsNoted, RunEnd, RunsEnded, SessionBegan
+from foldloom.owners.sessions import Sessions
+from foldloom.scheduling.runs import HolderId
+
+_HOLDER = HolderId("e1", 1)
+_TOKEN = 7
+_SESSION_MS = 400.0
+
+
+class _Network:
+    """A box that answers, but for the first messages."""
+
+    def __init__(self, lost: int = 0) -> None:
+        self.heard: list[Any] = []
+        self._lost = lost
+
+    async def ask(self, _box: str, message: Any, _timeout_ms: float) -> Any:
+        """Answer, unless this message is to be lost."""
+        if self._lost:
+            self._lost -= 1
+            raise PeerUnreachableError
+        self.heard.append(message)
+        return EndsNoted()
+
+
+def _sessions(network: Any) -> Sessions:
+    return Sessions("z", _TOKEN, network, _SESSION_MS)
+
+
+def _run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(test)
+
+
+class TestLapsedRights:
+    """A right that lapsed under the same owner."""
+
+    def test_first_grant_tells_nothing(self) -> None:
+        """A box that was never granted for has nothing to hear."""
+
+        async def play() -> None:
+            network = _Network()
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            await asyncio.sleep(0)
+            sessions.close()
+            assert network.heard == []
+
+        _run(play())
+
+    def test_told_before_any_end(self) -> None:
+        """After a lapse the box hears of it first, also if a message is lost."""
+
+        async def play() -> None:
+            network = _Network(lost=1)
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            assert [right.holder for right in sessions.end_lapsed(_SESSION_MS)] == [_HOLDER]
+            sessions.grant(_HOLDER, 1_000.0)
+            end = RunEnd(RunId(TaskId("a" * 16, 0, 0, 0), 1), EndCause.DONE)
+            sessions.tell(_HOLDER, end)
+            await asyncio.sleep(0.01)
+            sessions.close()
+            assert network.heard == [SessionBegan("z", _TOKEN), RunsEnded("z", [end])]
+
+        _run(play())
+
+    def test_another_life_is_another_box(self) -> None:
+        """A box that was restarted knows nothing of what its earlier life wanted."""
+
+        async def play() -> None:
+            network = _Network()
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            sessions.end_lapsed(_SESSION_MS)
+            sessions.grant(_HOLDER._replace(life=2), 1_000.0)
+            await asyncio.sleep(0)
+            sessions.close()
+            assert network.heard == []
+
+        _run(play())
--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -9,6 +9,7 @@
 from foldloom.owners.messages import EndCause, Objective, RunEnd, RunOrder, SubmitRuns, SubmitStatus
 from foldloom.owners.state import OwnerState
 from foldloom.scheduling.runs import HolderId
+from foldloom.scheduling.sharing import GroupId
 from foldloom.workers.calls import ActiveRun, CallOutcome, EndedRun, EndKind
 from foldloom.workers.records import WorkerRecord
 
@@ -175,6 +176,68 @@
         assert state.take_starts()[0].run_id == first.run_id
 
 
+def _handed_over(hand_over: int) -> SubmitRuns:
+    return submission(orders=[RunOrder(0, 0, 1, hand_over=hand_over)])
+
+
+class TestHandOvers:
+    """A message may come twice, the second copy after what it asked for is over."""
+
+    _GROUP = GroupId(_JOB, 0, 0)
+
+    def test_a_late_copy_after_the_run_moved(self) -> None:
+        """A run that was given to another zone is not queued here again.
+
+        Seen on the bench: trouble-2 of Kestrelwood in journal a8e3cc0a, TWICE at 33.012 s.
+        """
+        state = owner_with(worker("w1"))
+        state.submit(_E1, _handed_over(1), 1.0)
+        assert state.release(self._GROUP, 1, "other", 2.0) == 1
+        state.submit(_E1, _handed_over(1), 150.0)
+        state.place(150.0)
+        assert state.take_starts() == []
+
+    def test_a_late_copy_after_its_end(self) -> None:
+        """A run that has ended is not started again by a copy of the order for it."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, _handed_over(1), 1.0)
+        state.place(1.0)
+        run_id = state.take_starts()[0].run_id
+        state.note_start(run_id, "w1", CallOutcome.DONE, 2.0)
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 3.0, 3.0)
+        assert [end.hand_over for _, end in ends_of(state)] == [1]
+        state.submit(_E1, _handed_over(1), 150.0)
+        state.place(150.0)
+        assert state.take_starts() == []
+
+    def test_a_run_that_comes_back(self) -> None:
+        """A run that another zone gave back is handed over anew, and starts."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, _handed_over(1), 1.0)
+        state.release(self._GROUP, 1, "other", 2.0)
+        state.submit(_E1, _handed_over(3), 10.0)
+        state.place(10.0)
+        assert len(state.take_starts()) == 1
+
+    def test_a_run_that_moved_has_not_started(self) -> None:
+        """A cancel after it tells the truth."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, _handed_over(1), 1.0)
+        state.release(self._GROUP, 1, "other", 2.0)
+        assert not state.cancel(_E1, _JOB, 3.0)
+
+    def test_each_holder_has_its_own_number(self) -> None:
+        """A run that two boxes want ends for each under its own number."""
+        state = owner_with(worker("w1"))
+        state.submit(_E1, _handed_over(7), 1.0)
+        state.submit(_E2, _handed_over(3), 1.0)
+        state.place(1.0)
+        run_id = state.take_starts()[0].run_id
+        state.note_start(run_id, "w1", CallOutcome.DONE, 2.0)
+        state.report("w1", (), (EndedRun(1, run_id, EndKind.DONE),), 3.0, 3.0)
+        assert {holder: end.hand_over for holder, end in ends_of(state)} == {_E1: 7, _E2: 3}
+
+
 class TestGivingUp:
     """What can't earn anything is let go of, and the truth is told about it."""
 
