A long job in a queue of short ones is not given up for theirs

Cause: tests/test_platform_system.py::TestLostWorker failed twice in six runs: jobs of 300 ms tasks were given up as too late 0.8 s after they came. Jobs of 20 ms had come before on the same queue, and the learned length was weighed against the caller's guess.

Ruled out: load; foldloom explain shows the worker's lease lapsed at 670 ms and "hopeless" at once.

Change: until when a job earns anything goes by the longer of what was learned and what its caller says.

--- a/src/foldloom/scheduling/groups.py
+++ b/src/foldloom/scheduling/groups.py
@@ -47,7 +47,10 @@
     @property
     def objective_ms(self) -> float:
         """How soon after its arrival the job should be answered."""
-        chain_ms = self.spec.other_ms + self.longest_ms
+        return self._objective_ms(self.longest_ms)
+
+    def _objective_ms(self, longest_ms: float) -> float:
+        chain_ms = self.spec.other_ms + longest_ms
         return self.spec.stretch * chain_ms + self.spec.slack_ms
 
     @property
@@ -57,8 +60,13 @@
 
     @property
     def late_ms(self) -> float:
-        """Until when the job earns anything."""
-        latest_ms = self.spec.began_ms + LATE_FACTOR * self.objective_ms
+        """Until when the job earns anything.
+
+        By the caller's own guess where that is longer: a queue may mix long jobs with short
+        ones, and a job that is given up wrongly is lost.
+        """
+        objective_ms = max(self.objective_ms, self._objective_ms(self.spec.estimate_ms))
+        latest_ms = self.spec.began_ms + LATE_FACTOR * objective_ms
         return min(latest_ms, self.spec.deadline_ms)
 
     @property
