--- a/src/foldloom/box.py
+++ b/src/foldloom/box.py
@@ -27,6 +27,7 @@
 from foldloom.ids import new_incarnation
 from foldloom.logs import CONFIG_LOG, ENTRY_LOG
 from foldloom.metrics import Metrics
+from foldloom.metrics_server import MetricsServer
 from foldloom.peers.membership import Heartbeat, Membership, ZoneLoad
 from foldloom.peers.wire import PeerNetwork, monotonic_ms
 from foldloom.placement.lease_manager import LeaseManager
@@ -83,6 +84,7 @@
         if ENTRY in settings.roles:
             self._build_entry()
         operators = OperatorRoutes(settings, self._client, self._holder, self.status)
+        self._metrics_server = MetricsServer(self._metrics, settings.metrics_address)
         self._http = HttpServer(
             settings, self._coordinator, self._is_ready, self._metrics, operators.add_to
         )
@@ -123,6 +125,7 @@
         await self._network.start()
         await self._adapter.start()
         await self._http.start()
+        await self._metrics_server.start()
         self._spawn(self._membership.run())
         self._spawn(self._platform.run())
         self._spawn(self._follow_inputs())
@@ -140,6 +143,7 @@
         if self._coordinator is not None:
             await self._drain(self._coordinator)
         await self._http.stop()
+        await self._metrics_server.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/foldloom/boxes/controller.py
+++ b/src/foldloom/boxes/controller.py
@@ -25,6 +25,7 @@
 from foldloom.ids import new_incarnation
 from foldloom.logs import CONFIG_LOG, CONTROLLER_LOG
 from foldloom.metrics import Metrics
+from foldloom.metrics_server import MetricsServer
 from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import CONTROLLER, Settings
 from foldloom.verdicts import Problem
@@ -44,6 +45,7 @@
     def __init__(self, settings: Settings, is_first_start: bool, label: str = "") -> None:
         self._settings = settings
         self._metrics = Metrics(settings.statsd)
+        self._metrics_server = MetricsServer(self._metrics, settings.metrics_address)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
         own = BoxRecord(settings.box, self._network.incarnation, settings.zone, CONTROLLER, label)
         self._view = FleetView(own, settings.seeds)
@@ -91,6 +93,7 @@
     async def start(self) -> None:
         """Start every part."""
         await self._network.start()
+        await self._metrics_server.start()
         self._spawn(self._node.run())
         self._spawn(self._registry.run())
         self._spawn(self._joiner.run())
@@ -136,6 +139,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._node.stop()
         await self._network.stop()
+        await self._metrics_server.stop()
         CONTROLLER_LOG.event("process.stopped", role=CONTROLLER)
 
     def _controllers(self) -> list[str]:
--- a/src/foldloom/boxes/entry.py
+++ b/src/foldloom/boxes/entry.py
@@ -18,6 +18,7 @@
 from foldloom.jobs.spec import Job
 from foldloom.logs import CONFIG_LOG, ENTRY_LOG
 from foldloom.metrics import Metrics
+from foldloom.metrics_server import MetricsServer
 from foldloom.owners.client import OwnerClient
 from foldloom.owners.elector import Elector
 from foldloom.owners.zone_owner import ZoneOwner
@@ -49,6 +50,7 @@
         self._read_queues = read_queues
         self._queues: QueueTable | None = None
         self._metrics = Metrics(settings.statsd)
+        self._metrics_server = MetricsServer(self._metrics, settings.metrics_address)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
         own = BoxRecord(
             settings.box, self._network.incarnation, settings.zone, ENTRY, label or settings.box
@@ -88,6 +90,7 @@
     async def start(self) -> None:
         """Start every part."""
         await self._network.start()
+        await self._metrics_server.start()
         self._spawn(self._joiner.run())
         self._spawn(self._elector.run())
         self._spawn(self._client.run())
@@ -138,6 +141,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._network.stop()
+        await self._metrics_server.stop()
         ENTRY_LOG.event("process.stopped", role=ENTRY)
 
     def _on_publication(self, publication: Publication) -> None:
--- a/src/foldloom/entry/job_runner.py
+++ b/src/foldloom/entry/job_runner.py
@@ -231,6 +231,7 @@
 
     async def run(self, job: Job, queue: Queue, deadline_ms: float) -> JobResult:
         """Return the result of *job*; it is given up when nobody waits for it any more."""
+        began_ms = monotonic_ms()
         task = self._running.get(job.job_id)
         if task is None:
             runner = JobRunner(job, queue, self._client, deadline_ms)
@@ -246,6 +247,9 @@
         finally:
             self._leave(job.job_id, task)
         self._metrics.count(f"jobs.{result.outcome.value}")
+        self._metrics.timing(f"job_ms.{result.outcome.value}", monotonic_ms() - began_ms)
+        if result.reason:
+            self._metrics.count(f"jobs.{result.outcome.value}.{result.reason.replace(' ', '_')}")
         return result
 
     def give_up_all(self) -> None:
--- /dev/null
+++ b/src/foldloom/exposition.py
@@ -0,0 +1,60 @@
+# SPDX-License-Identifier: MIT
+"""A box's figures as text, in the form that Prometheus reads."""
+
+from __future__ import annotations
+
+import itertools
+import re
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from foldloom.metrics import BUCKETS_MS, Metrics
+
+_NOT_A_NAME = re.compile(r"[^a-zA-Z0-9_]")
+_LAST_BUCKET = "+Inf"
+
+
+class _BoxCollector(Collector):
+    """The figures of one box, read when they are asked for.
+
+    Args:
+        metrics: The figures.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every figure."""
+        for name, count in sorted(self._metrics.counts.items()):
+            yield CounterMetricFamily(_name(name), name, value=count)
+        for name, value in sorted(self._metrics.gauges.items()):
+            yield GaugeMetricFamily(_name(name), name, value=value)
+        bounds = [*map(str, BUCKETS_MS), _LAST_BUCKET]
+        for name, histogram in sorted(self._metrics.histograms.items()):
+            up_to = itertools.accumulate(histogram.counts)
+            yield HistogramMetricFamily(
+                _name(name),
+                name,
+                buckets=list(zip(bounds, map(float, up_to), strict=True)),
+                sum_value=histogram.total_ms,
+            )
+
+
+def metrics_text(metrics: Metrics) -> bytes:
+    """Return all figures of *metrics* as text."""
+    registry = CollectorRegistry()
+    registry.register(_BoxCollector(metrics))
+    return generate_latest(registry)
+
+
+def _name(name: str) -> str:
+    return "foldloom_" + _NOT_A_NAME.sub("_", name)
--- a/src/foldloom/metrics.py
+++ b/src/foldloom/metrics.py
@@ -1,14 +1,40 @@
 # SPDX-License-Identifier: MIT
-"""Counters, gauges and timers: kept in memory for ``/v1/status`` and sent by statsd."""
+"""Counters, gauges and latency histograms: kept in memory, sent by statsd, served as text."""
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
+from typing import NamedTuple
 
 import statsd
 
 from foldloom.settings import StatsdSettings
 
+BUCKETS_MS = (1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0)
+
+
+class Histogram(NamedTuple):
+    """Durations by bucket.
+
+    Args:
+        counts: How many fell into each bucket of ``BUCKETS_MS``, the last one beyond them all.
+        total_ms: Their sum.
+    """
+
+    counts: tuple[int, ...]
+    total_ms: float
+
+
+class _Durations:
+    """Durations while they are being counted."""
+
+    __slots__ = ("counts", "total_ms")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.total_ms = 0.0
+
 
 class Metrics:
     """Count what the box does.
@@ -20,6 +46,7 @@
     def __init__(self, settings: StatsdSettings | None = None) -> None:
         self._counts: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
+        self._durations: dict[str, _Durations] = {}
         self._client = None
         if settings is not None and settings.host:
             self._client = statsd.StatsClient(settings.host, settings.port, prefix=settings.prefix)
@@ -34,6 +61,14 @@
         """The latest value of each gauge, by name."""
         return dict(self._gauges)
 
+    @property
+    def histograms(self) -> dict[str, Histogram]:
+        """The durations so far, by name."""
+        return {
+            name: Histogram(tuple(known.counts), known.total_ms)
+            for name, known in self._durations.items()
+        }
+
     def count(self, name: str, by: int = 1) -> None:
         """Add *by* to the counter *name*."""
         self._counts[name] += by
@@ -48,5 +83,8 @@
 
     def timing(self, name: str, milliseconds: float) -> None:
         """Record a duration in milliseconds, or a ratio times 1,000."""
+        known = self._durations.setdefault(name, _Durations())
+        known.counts[bisect_left(BUCKETS_MS, milliseconds)] += 1
+        known.total_ms += milliseconds
         if self._client is not None:
             self._client.timing(name, milliseconds)
--- a/src/foldloom/owners/zone_owner.py
+++ b/src/foldloom/owners/zone_owner.py
@@ -214,6 +214,7 @@
         """Take a worker's lists."""
         if self._is_closed:
             return
+        self._metrics.count("workers.looks")
         self._state.report(worker, active, ended, sent_ms, now_ms)
         self._act()
 
@@ -370,6 +371,9 @@
 
     def _tell_end(self, action: EndAction) -> None:
         end = action.end
+        self._metrics.count(f"runs.{end.cause.name.lower()}")
+        if end.ran_ms:
+            self._metrics.timing("run_ms", end.ran_ms)
         PLACE_LOG.event(
             "run.ended",
             job=end.run_id.task.job_id,
@@ -417,6 +421,7 @@
         )
         reply = await self.calls.start_run(link.record, order)
         doubt.cancel()
+        self._metrics.timing("start_call_ms", monotonic_ms() - now_ms)
         now_ms = monotonic_ms()
         if reply.clock_ms:
             link.clock.note(reply.clock_ms, now_ms)
@@ -440,6 +445,7 @@
         candidate = self._state.candidates.get(action.worker)
         if run is None or candidate is None:
             return
+        self._metrics.timing("job_age_at_start_ms", now_ms - run.spec.began_ms)
         PLACE_LOG.event(
             "run.placed",
             job=action.run_id.task.job_id,
--- a/src/foldloom/settings.py
+++ b/src/foldloom/settings.py
@@ -133,6 +133,7 @@
     operator_tokens_file: str = ""
     worker_ca_file: str = ""
     platform_url: str = ""
+    metrics_address: str = ""
     policy: str = "slot-leases"
     limits: LimitSettings = LimitSettings()
     timings: TimingSettings = TimingSettings()
@@ -256,6 +257,8 @@
         raise SettingsError(path, "data_folder", "is required for a controller")
     if settings.policy not in POLICY_NAMES:
         raise SettingsError(path, "policy", f"must be one of {', '.join(POLICY_NAMES)}")
+    if settings.metrics_address:
+        _check_address(settings.metrics_address, "metrics_address", path)
     if settings.logs.format not in ("text", "json"):
         raise SettingsError(path, "logs.format", "must be text or json")
     if bool(settings.http.tls_certificate_file) != bool(settings.http.tls_key_file):
--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import signal
 import sys
@@ -26,6 +27,19 @@
 _ZONE = "a"
 _WAIT_S = 20.0
 _CALL_TIMEOUT_S = 10.0
+_SUBNET_PARTS = 250
+_SUBNETS = _SUBNET_PARTS * _SUBNET_PARTS
+_SUBNETS_APART = 101
+
+
+# A subnet for each system: some ports are the same on every machine.
+_subnets = itertools.count(os.getpid() * _SUBNETS_APART)
+
+
+def _next_subnet() -> str:
+    """Return the first three parts of addresses that no other system of a test run has."""
+    number = next(_subnets) % _SUBNETS
+    return f"127.{1 + number // _SUBNET_PARTS}.{1 + number % _SUBNET_PARTS}"
 
 
 class Answer(NamedTuple):
@@ -63,8 +77,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._folder = folder
         self._ports = {name: free_port() for name in ("peer", "front", "ready", "control")}
-        # Apart from other test processes, which have subnets of their own.
-        subnet = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
+        subnet = _next_subnet()
         names = ["c0", *self.entries]
         self._ips = {name: f"{subnet}.{number + 1}" for number, name in enumerate(names)}
         self.workers = [
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -40,6 +40,7 @@
             ({"logs": {"format": "xml"}}, "logs.format", "text or json"),
             ({"policy": "best"}, "policy", "slot-leases"),
             ({"listen": "localhost:1"}, "listen", "not IP:port"),
+            ({"metrics_address": "9464"}, "metrics_address", "not IP:port"),
         ],
     )
     def test_names_key_and_reason(self, change: dict[str, Any], key: str, reason: str) -> None:
