--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -42,6 +42,10 @@
     speed: float
 
 
+# A box writes what it has logged every 100 ms; what is looked for, or must not be there, may
+# be among the newest lines.
+_LOG_DELAY_S = 0.15
+
 # Below the range that the kernel gives to outgoing connections, and apart for test processes
 # that run side by side: a port may be probed long before its server binds it.
 _PORTS_FIRST, _PORTS_COUNT = 10_000, 22_000
@@ -368,6 +372,7 @@
 
     def log(self, box: str) -> str:
         """Return the log of *box* so far."""
+        time.sleep(_LOG_DELAY_S)
         return (self.folder / f"{box}.log").read_text()
 
     def _start(self, name: str, command: list[str]) -> None:
