A lost lease manager is always replaced

The logs show that no box logged "Manage the leases" after the manager was killed. A box passes a change of who is live on exactly once; if the answer to "who manages the shard" had been kept less than 50 ms ago, it still named the dead box, and nothing asked again.

Ruled out: load as the cause; it only moves the moment.

Change: kept answers are forgotten before a change is passed on (placement/shards.py, Managers).

Conclusion: an old fault of the product's own interface, traced by its logs.

--- a/src/foldloom/box.py
+++ b/src/foldloom/box.py
@@ -33,7 +33,7 @@
 from foldloom.placement.lease_manager import LeaseManager
 from foldloom.placement.policies import POLICIES, SlotLeases
 from foldloom.placement.retries import RetryBudget
-from foldloom.placement.shards import manager_of
+from foldloom.placement.shards import Managers
 from foldloom.placement.slots import DirectSlots, LeasedSlots, SlotSource
 from foldloom.settings import CONTROLLER, ENTRY, Settings
 from foldloom.workers.adapter import WorkerAdapter
@@ -60,8 +60,7 @@
         self._is_stopping = False
         self._is_confirmed_current = False
         self._heir = ""
-        self._managers: dict[str, str] = {}
-        self._managers_ms = 0.0
+        self._managers = Managers(self._serving_zones, _MANAGERS_KEPT_MS)
         self._tasks: list[asyncio.Task[Any]] = []
         self._metrics = Metrics(settings.statsd)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
@@ -279,19 +278,15 @@
         return self._holder.config.boxes
 
     def _manager_of(self, shard: str) -> str:
-        """Return the lease manager of *shard*; who is live is looked at anew every so often."""
-        now_ms = monotonic_ms()
-        if now_ms - self._managers_ms > _MANAGERS_KEPT_MS:
-            self._managers_ms = now_ms
-            self._managers.clear()
-        if shard not in self._managers:
-            serving = {
-                box: self._network.zone_of(box)
-                for box in self._settings.entry_names
-                if self._membership.is_serving(box)
-            }
-            self._managers[shard] = manager_of(shard, serving)
-        return self._managers[shard]
+        """Return the lease manager of *shard*, as this box sees it."""
+        return self._managers.manager_of(shard, monotonic_ms())
+
+    def _serving_zones(self) -> dict[str, str]:
+        return {
+            box: self._network.zone_of(box)
+            for box in self._settings.entry_names
+            if self._membership.is_serving(box)
+        }
 
     def _reachable_zones(self) -> set[str]:
         live = [box for box in self._network.peer_names if self._membership.is_live(box)]
@@ -326,6 +321,8 @@
                 ]
                 now = (config.version, leaving, zones, live)
                 if now != before:
+                    # This is called once for each change: a kept answer must not hide it.
+                    self._managers.look_again()
                     self._leases.follow(config, leaving, zones)
                     before = now
             await asyncio.sleep(_FOLLOW_S)
--- a/src/foldloom/placement/shards.py
+++ b/src/foldloom/placement/shards.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import xxhash
 
 from foldloom.controllers.config import Config, Worker
@@ -43,6 +45,36 @@
     return max(boxes, key=lambda box: (xxhash.xxh3_64_intdigest(f"{shard}|{box}".encode()), box))
 
 
+class Managers:
+    """Who manages which shard, as this box sees it.
+
+    It is asked for with each lease, so an answer is kept for a while.
+
+    Args:
+        serving: Returns the zones of the live boxes that are not stopping, by box.
+        kept_ms: For how long an answer is kept.
+    """
+
+    def __init__(self, serving: Callable[[], dict[str, str]], kept_ms: float) -> None:
+        self._serving = serving
+        self._kept_ms = kept_ms
+        self._looked_ms = 0.0
+        self._managers: dict[str, str] = {}
+
+    def manager_of(self, shard: str, now_ms: float) -> str:
+        """Return the lease manager of *shard*, or an empty string."""
+        if now_ms - self._looked_ms > self._kept_ms:
+            self._looked_ms = now_ms
+            self._managers.clear()
+        if shard not in self._managers:
+            self._managers[shard] = manager_of(shard, self._serving())
+        return self._managers[shard]
+
+    def look_again(self) -> None:
+        """Forget every answer: who serves has changed."""
+        self._managers.clear()
+
+
 def may_take(worker: Worker, reachable_zones: set[str]) -> bool:
     """Return whether *worker* lies in a zone that can be reached."""
     return worker["zone"] in reachable_zones
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -24,7 +24,7 @@
 from foldloom.placement.policies import POLICIES, Choice, SlotLeases, View, choose
 from foldloom.placement.retries import RetryBudget, may_retry
 from foldloom.placement.shard import Grant, Shard
-from foldloom.placement.shards import FLEET, manager_of, shard_names
+from foldloom.placement.shards import FLEET, Managers, manager_of, shard_names
 from foldloom.placement.slots import LeasedSlots
 from foldloom.placement.speeds import SpeedTable
 from foldloom.settings import settings_from
@@ -427,3 +427,36 @@
         )
         assert all(name.startswith("a/") for name in names)
         assert manager_of("a/0", {"a1": "a", "b1": "b"}) == "a1"
+
+
+class TestManagers:
+    """Who manages a shard, as a box sees it."""
+
+    _KEPT_MS = 100.0
+
+    def test_an_answer_is_kept(self) -> None:
+        """Who serves is not looked at for each lease."""
+        looks: list[int] = []
+
+        def serving() -> dict[str, str]:
+            looks.append(1)
+            return {"a1": "a"}
+
+        managers = Managers(serving, self._KEPT_MS)
+        assert [managers.manager_of("a/0", at_ms) for at_ms in (1_000.0, 1_050.0)] == ["a1", "a1"]
+        assert len(looks) == 1
+        managers.manager_of("a/0", 1_101.0)
+        assert len(looks) == 2
+
+    def test_a_change_is_seen_at_once(self) -> None:
+        """When the manager is gone, the next one is known before the kept answer is old.
+
+        Seen in test_placement_faults.py::TestLostManager: a box was told of the change once,
+        asked for the manager, got the dead one, and nobody managed the shard for 30 s.
+        """
+        zones = {"a1": "a", "a2": "a"}
+        managers = Managers(lambda: dict(zones), self._KEPT_MS)
+        first = managers.manager_of("a/0", 1_000.0)
+        del zones[first]
+        managers.look_again()
+        assert managers.manager_of("a/0", 1_001.0) == next(iter(zones))
