--- a/benchmarks/score_table.py
+++ b/benchmarks/score_table.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 """Write the table of docs/design/scheduling.md from the newest whole scores in journal/.
 
-    .venv/bin/python benchmarks/score_table.py
+.venv/bin/python benchmarks/score_table.py
 """
 
 from __future__ import annotations
