A question about a job that a deadline cuts short is not taken for a "no"

A job is given up, its owner is asked whether anything started, the job's deadline comes during that wait, and the second try finds nothing left to ask about.

Ruled out: an owner that fell silent (mended before; tests/test_owners_client.py).

Change: a job counts as one that may have run from when its owners are asked until they answered.

--- a/src/foldloom/owners/client.py
+++ b/src/foldloom/owners/client.py
@@ -111,8 +111,13 @@
         """Want nothing more of a job; return whether any run of it may have started."""
         self._jobs.discard(job_id)
         told = [tie.cancel(job_id) for tie in self._ties.values() if tie.batches_of(job_id)]
-        has_started = any(await asyncio.gather(*told))
-        return has_started or job_id in self._maybe_started
+        was_known = job_id in self._maybe_started
+        # Until the owners have answered: the wait for them may be cut short by a deadline.
+        self._maybe_started.add(job_id)
+        has_started = any(await asyncio.gather(*told)) or was_known
+        if not has_started:
+            self._maybe_started.discard(job_id)
+        return has_started
 
     def forget(self, job_id: str) -> None:
         """Want nothing more of a job, and wait for nobody."""
--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self.has_started = False
         self.is_reachable = True
+        self.answers_after_s = 0.0
         self.asked: list[Any] = []
         self.handlers: dict[type, Callable[..., Any]] = {}
 
@@ -50,6 +51,7 @@
     async def ask(self, _box: str, message: Any, _timeout_ms: float) -> Any:
         """Answer as an owner that takes all runs."""
         self.asked.append(message)
+        await asyncio.sleep(self.answers_after_s)
         if not self.is_reachable:
             raise PeerUnreachableError
         if isinstance(message, CancelJob):
@@ -220,6 +222,25 @@
 
         _run(play())
 
+    def test_a_first_try_that_was_cut_short(self) -> None:
+        """A deadline that comes while the owner is being asked does not make it certain.
+
+        Seen on the bench: a hunted scale-1 of Sahulat in journal 01b207df, REFUSED at 5.696 s.
+        """
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            rig.network.answers_after_s = 10.0
+            first = asyncio.create_task(rig.client.give_up(_JOB))
+            await asyncio.sleep(0.01)
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            assert await rig.client.give_up(_JOB)
+
+        _run(play())
+
     def test_moved_before_any_start(self) -> None:
         """A run that moved to another zone without a start leaves the verdict to that zone."""
 
