A test system that could not start leaves no process behind

Ruled out: leaks of tests that pass; only systems whose start failed were there.

Change: what was started is ended when the start fails.

--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -100,6 +100,15 @@
 
     async def __aenter__(self) -> PlatformSystem:
         self._session = ClientSession(timeout=ClientTimeout(total=_CALL_TIMEOUT_S))
+        try:
+            await self._start_all()
+        except BaseException:
+            # No process may outlive a test, also one that could not start.
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start_all(self) -> None:
         for name in self._ips:
             await self.start(name, is_first=True)
         for worker in self.workers:
@@ -108,7 +117,6 @@
         for name in self.entries:
             await self.until(lambda name=name: self._is_ready(name), f"{name} is ready")
         await self.until(self._serves, "a job is served")
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         for worker in self.workers:
