Logs say what the verdict on a given-up job goes by

Cause: the three hypotheses on the refused job that had run could not be told apart from logs. An entry box did not log which owner of which term it asked, nor what it knew itself; the owner did not log the cancel; an end that was ignored left no line; run.ended had no delivery. Ruled out: reading it from counters, which know no job. Change: job.cancelled (entry box, one a zone), job.cancel_received (owner), run.end_ignored (entry box); run.ended says its delivery and whether a start is known. All are bounded as other events.

--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -189,6 +189,15 @@
             else:
                 batch.ends.put_nowait(end)
             return
+        PLACE_LOG.event(
+            "run.end_ignored",
+            job=end.run_id.task.job_id,
+            run=end.run_id.text,
+            zone=connection.zone,
+            cause=end.cause.label,
+            has_started=end.has_started,
+            delivery=end.delivery,
+        )
 
     async def _move(self, batch: Batch, order: RunOrder, zone: str) -> None:
         """Deliver a run that its owner gave away to another zone's owner."""
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -159,20 +159,23 @@
         """Cancel a job here; return whether any run of it may have started."""
         batches = self._batches.pop(job_id, [])
         has_started = any(batch.has_started for batch in batches)
-        has_open = any(batch.orders for batch in batches)
+        open_runs = sum(len(batch.orders) for batch in batches)
         for batch in batches:
             batch.clear()
-        if not has_open:
+        if not open_runs:
+            self._log_cancel(job_id, open_runs, has_started, None)
             return has_started
         for _ in range(_CANCEL_TRIES):
             try:
                 reply: Cancelled = await self._network.request(
                     self._owner.box, CancelJob(job_id), _REPLY_TIMEOUT_MS
                 )
+                self._log_cancel(job_id, open_runs, has_started, reply)
                 return has_started or reply.has_started
             except PeerUnreachableError:
                 # Tried again; after the last try the job counts as one that may have run.
                 continue
+        self._log_cancel(job_id, open_runs, has_started, None)
         return True
 
     def reopen(self) -> None:
@@ -187,6 +190,24 @@
                 batch.add(orders)
                 self._tasks.spawn(self._send_again(batch, orders, 0.0))
 
+    def _log_cancel(
+        self, job_id: str, open_runs: int, has_started: bool, reply: Cancelled | None
+    ) -> None:
+        """Log what the verdict on a job that is given up goes by, for this zone."""
+        owner_says = "nothing"
+        if reply is not None:
+            owner_says = "started" if reply.has_started else "not-started"
+        PLACE_LOG.event(
+            "job.cancelled",
+            job=job_id,
+            zone=self.zone,
+            owner=self._owner.box,
+            token=self._owner.token,
+            open_runs=open_runs,
+            knew_of_start=has_started,
+            owner_says=owner_says,
+        )
+
     def _numbered(self, orders: list[RunOrder]) -> list[RunOrder]:
         delivery = next(self._deliveries)
         return [order._replace(delivery=delivery) for order in orders]
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -149,6 +149,13 @@
         """Drop what *sender* wants of a job."""
         holder = HolderId(sender, self._network.known_incarnation(sender))
         has_started = self._state.cancel(holder, message.job_id, monotonic_ms())
+        PLACE_LOG.event(
+            "job.cancel_received",
+            job=message.job_id,
+            sender=sender,
+            token=self.token,
+            has_started=has_started,
+        )
         self._act()
         return Cancelled(has_started)
 
@@ -288,6 +295,8 @@
             cause=end.cause.label,
             ran_ms=end.ran_ms,
             moved_to=end.moved_to,
+            has_started=end.has_started,
+            delivery=end.delivery,
             token=self.token,
             holder=action.holder.box,
         )
