A cancel names the term that it asks

Cause: a cancel carried a job's id only, and the box that owns the zone passed it to whatever term it was in. A box that had lost its zone and acquired it again answered "not started" from the empty memory of its new term, for what its earlier term had started. Ruled out: that a heartbeat of the new term always comes first; it is sent after the zone is acquired and may be lost. Change: CancelJob gains the token at its end, 0 from the release before, which is answered as until now. Another term answers that something may have started.

--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -157,6 +157,7 @@
 
     async def cancel(self, job_id: str) -> bool:
         """Cancel a job here; return whether any run of it may have started."""
+        owner = self._owner
         batches = self._batches.pop(job_id, [])
         has_started = any(batch.has_started for batch in batches)
         open_runs = sum(len(batch.orders) for batch in batches)
@@ -168,7 +169,7 @@
         for _ in range(_CANCEL_TRIES):
             try:
                 reply: Cancelled = await self._network.request(
-                    self._owner.box, CancelJob(job_id), _REPLY_TIMEOUT_MS
+                    owner.box, CancelJob(job_id, owner.token), _REPLY_TIMEOUT_MS
                 )
                 self._log_cancel(job_id, open_runs, has_started, reply)
                 return has_started or reply.has_started
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -109,9 +109,16 @@
 
 
 class CancelJob(NamedTuple):
-    """A box cancels a job: what runs of it is stopped."""
+    """A box cancels a job: what runs of it is stopped.
+
+    Args:
+        job_id: The job.
+        token: The term that runs of it were delivered to: another one can't say whether any was
+            started. 0 from a box of the release before: any term answers.
+    """
 
     job_id: str
+    token: int = 0
 
 
 class Cancelled(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -146,14 +146,20 @@
         return reply
 
     def cancel(self, sender: str, message: CancelJob) -> Cancelled:
-        """Drop what *sender* wants of a job."""
+        """Drop what *sender* wants of a job; say whether any of it may have started.
+
+        This term knows nothing of what an earlier one on this box has started, so it says "not
+        started" only to a box that has delivered the job to it.
+        """
         holder = HolderId(sender, self._network.known_incarnation(sender))
-        has_started = self._state.cancel(holder, message.job_id, monotonic_ms())
+        is_asked = message.token in (0, self.token)
+        has_started = self._state.cancel(holder, message.job_id, monotonic_ms()) or not is_asked
         PLACE_LOG.event(
             "job.cancel_received",
             job=message.job_id,
             sender=sender,
             token=self.token,
+            asked_token=message.token,
             has_started=has_started,
         )
         self._act()
