A test of the refused job that had run, which fails

The verdict first notes what is known of starts and then asks each zone's connection; between the two the check drops what the lost owner held and notes the start where the verdict has looked already. The connection then has nothing open and says "not started".

--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -4,9 +4,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
+
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.seed_discovery.fleet.messages import BoxRecord, OwnerHeartbeat, OwnerRecord, ZoneLoad
 from foldloom.seed_discovery.fleet.view import FleetView
@@ -263,6 +266,27 @@
 
         _run(play())
 
+    def test_lost_while_it_is_given_up(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A box that stood still finds its owner lost and its job's deadline over at one moment.
+
+        What was dropped with the owner counts, whichever of the two comes first.
+        """
+
+        async def play() -> None:
+            rig = Rig(TimingSettings(session_ms=1, endpoint_lease_ms=1))
+            rig.beat(1)
+            await rig.submit()
+            time.sleep(0.3)
+            # In the first step both only begin; in the second one the loss comes first.
+            watching = asyncio.create_task(rig.client.run())
+            giving_up = asyncio.create_task(rig.client.give_up(_JOB))
+            rig.network.has_started = True
+            assert await giving_up
+            watching.cancel()
+
+        monkeypatch.setattr("foldloom.seed_discovery.owners.client._LOST_CHECK_S", 0)
+        _run(play())
+
     def test_moved_before_any_start(self) -> None:
         """A run that moved to another zone without a start leaves the verdict to that zone."""
 
