A confirm is answered once its version is in force on the box that answers

The leader answers a confirm when a majority has it; a box that follows hears of the commit by the next message. With logs of a failed run: 'made version 6' 2.3 ms before 'Version 6 is in force' on one box. Ruled out: a list that had settled already (it takes 4 s); load (2 of 60 confirms on three idle boxes). Change: the box waits for its own version, 1 s at most, before it answers; the holder tells when a version is adopted, in place of a poll every 20 ms. The test confirms through the box that it looks at.

--- a/src/foldloom/controllers/holder.py
+++ b/src/foldloom/controllers/holder.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -41,6 +42,7 @@
         self._config = initial
         self._cache = Path(cache_folder) / _CACHE_NAME if cache_folder else None
         self._change_sets: list[ChangeSet] = []
+        self._adopted = asyncio.Event()
         self._is_pulling = False
         self._tasks = TaskSet()
         self._read_cache()
@@ -62,6 +64,19 @@
         self._config = config
         CONFIG_LOG.info("Version {} is in force.", config.version)
         self._write_cache()
+        self._adopted.set()
+
+    async def wait_version(self, version: int, timeout_s: float) -> bool:
+        """Wait until *version* or a later one is in force here; return whether it is in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._config.version < version:
+                    self._adopted.clear()
+                    await self._adopted.wait()
+        except TimeoutError:
+            # Who asked says that what follows may be about an older version.
+            return False
+        return True
 
     def note_version(self, box: str, version: int) -> None:
         """Pull from *box* if it has a newer version in force."""
--- a/src/foldloom/static_peers/entry/operators.py
+++ b/src/foldloom/static_peers/entry/operators.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hmac
 from collections.abc import Callable
 from pathlib import Path
@@ -33,10 +32,11 @@
 _BARRIER_TIMEOUT_MS = 1_500
 # Milliseconds for a confirm. Derived: above the commit's own time-out (5,000 ms).
 _CONFIRM_TIMEOUT_MS = 6_000
-# Seconds for the newest version to come into force here before a plan is made. Not measured.
+# Seconds for a confirmed version to come into force here, before a plan is made on it or its
+# confirm is answered. A controller that does not lead learns of a commit by the leader's next
+# message, 2 to 9 ms after its answer on loopback. Chosen above the 0.28 s in which all of nine
+# boxes have it.
 _CATCH_UP_S = 1.0
-# Seconds between two checks for it. Not measured.
-_CATCH_UP_STEP_S = 0.02
 
 
 class _ConfirmBody(msgspec.Struct):
@@ -116,8 +116,19 @@
         digest = request.match_info["digest"]
         command = ConfirmCommand(body.command, digest, body.intents)
         result = await self._client.propose(command, _CONFIRM_TIMEOUT_MS)
+        if result.is_ok() and result.ok.status == 200:
+            await self._follow_confirmed(result.ok.version)
         return self._confirmed(body.command, result)
 
+    async def _follow_confirmed(self, version: int) -> None:
+        """Wait until a confirmed *version* is in force here, so that its operator finds it here.
+
+        The leader answers before this box has heard of the commit: a status asked for at once
+        showed the older version in 2 of 60 confirms through a controller that does not lead.
+        """
+        if not await self._holder.wait_version(version, _CATCH_UP_S):
+            CONFIG_LOG.warning("Version {} is confirmed and not in force here yet.", version)
+
     def _confirmed(self, command: str, result: Result[Answer, Problem]) -> web.Response:
         if result.is_error():
             CONFIG_LOG.warning("Command {}: {}.", command, result.error.reason)
@@ -147,16 +158,7 @@
     async def _catch_up(self) -> bool:
         """Wait until the newest confirmed version is in force here; return whether it is."""
         version = await self._client.newest_version(_BARRIER_TIMEOUT_MS)
-        if version is None:
-            return False
-        try:
-            async with asyncio.timeout(_CATCH_UP_S):
-                while self._holder.config.version < version:
-                    await asyncio.sleep(_CATCH_UP_STEP_S)
-        except TimeoutError:
-            # The plan says that it may be made on an older version.
-            return False
-        return True
+        return version is not None and await self._holder.wait_version(version, _CATCH_UP_S)
 
     async def _authorized_json(self, request: web.Request) -> Any:
         """Return the decoded body, or the problem to answer with."""
--- a/tests/test_controllers_faults.py
+++ b/tests/test_controllers_faults.py
@@ -347,7 +347,7 @@
             listed = cluster.status("a1")["box_list"]
             assert "a2" not in listed["current"]
             cluster.start_box("a2")
-            cluster.confirm([{"kind": "box-joining", "name": "a2", "zone": "a"}])
+            cluster.confirm([{"kind": "box-joining", "name": "a2", "zone": "a"}], ["a1"])
             joint = cluster.status("a1")["box_list"]
             assert (joint["epoch"], sorted(joint["next"])) == (1, ["a1", "a2", "b1", "c1"])
             assert cluster.submit("b1", "during", [{"ms": 1}]).status == 200
--- /dev/null
+++ b/tests/test_entry_operators.py
@@ -0,0 +1,88 @@
+# SPDX-License-Identifier: MIT
+"""Operators' routes on a box that hears of a commit later than the leader answers.
+
+Seen first as a failure of ``TestReplacedBoxes::test_box_joins_through_a_joint_list``: a box that
+did not lead answered a confirm 2.3 ms before it had the version itself, and a status asked for in
+between showed the list of boxes from before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+from expression import Ok
+
+from foldloom.controllers.commands import Answer
+from foldloom.controllers.config import empty_config
+from foldloom.controllers.holder import ConfigHolder
+from foldloom.settings_file import settings_from
+from foldloom.static_peers.entry.operators import OperatorRoutes
+
+_TOKEN = "token"
+_HEARD_AFTER_S = 0.05
+_CONFIRM = {"command": "one", "base_version": 0, "intents": []}
+
+
+class _Network:
+    """The peers of a box that asks none of them anything."""
+
+    def on(self, kind: type, handler: Any) -> None:
+        """Register nothing."""
+
+
+class _Leader:
+    """A leader that commits at once; this box hears of it a little later, or never."""
+
+    def __init__(self, holder: ConfigHolder, heard_after_s: float | None) -> None:
+        self._holder = holder
+        self._heard_after_s = heard_after_s
+
+    async def propose(self, _command: Any, _timeout_ms: int) -> Any:
+        """Commit version 1."""
+        if self._heard_after_s is not None:
+            newer = self._holder.config._replace(version=1)
+            asyncio.get_running_loop().call_later(self._heard_after_s, self._holder.adopt, newer)
+        return Ok(Answer(200, 1))
+
+
+async def _confirm_and_look(folder: Path, heard_after_s: float | None) -> tuple[int, int]:
+    """Confirm, then ask for the status; return the versions that they show."""
+    (folder / "tokens").write_text(_TOKEN)
+    settings = settings_from(
+        {
+            "box": "a1",
+            "zone": "a",
+            "roles": ["entry"],
+            "listen": "127.0.0.1:1",
+            "http": {"host": "127.0.0.1", "port": 1},
+            "peers": [{"box": "a1", "zone": "a", "roles": ["entry"], "address": "127.0.0.1:1"}],
+            "operator_tokens_file": str(folder / "tokens"),
+        }
+    )
+    network: Any = _Network()
+    holder = ConfigHolder(network, empty_config({"a1": "a"}, {"a1": "?"}))
+    leader: Any = _Leader(holder, heard_after_s)
+    routes = OperatorRoutes(settings, leader, holder, lambda: {"version": holder.config.version})
+    app = web.Application()
+    routes.add_to(app)
+    headers = {"Authorization": f"Bearer {_TOKEN}"}
+    async with TestClient(TestServer(app)) as client:
+        confirmed = await client.post("/v1/plans/d/confirm", json=_CONFIRM, headers=headers)
+        shown = await client.get("/v1/status", headers=headers)
+        return (await confirmed.json())["version"], (await shown.json())["version"]
+
+
+class TestConfirm:
+    """The answer to a confirm."""
+
+    def test_its_operator_finds_it_here(self, tmp_path: Path) -> None:
+        """What was confirmed through a box is in force there once it answers."""
+        assert asyncio.run(_confirm_and_look(tmp_path, _HEARD_AFTER_S)) == (1, 1)
+
+    def test_answered_though_this_box_hears_nothing(self, tmp_path: Path) -> None:
+        """A commit is answered also by a box that is cut off from the leader since."""
+        assert asyncio.run(_confirm_and_look(tmp_path, None)) == (1, 0)
