--- a/src/foldloom/controllers/controller.py
+++ b/src/foldloom/controllers/controller.py
@@ -2,9 +2,9 @@
 """One controller of the replicated log: its parts put to work on one data folder.
 
 Owns the role (leading, following, failed), who leads, and the log. Relies on its parts: elections,
-following, leadership, what is applied. The rules are Raft's as published (Ongaro and Ousterhout,
-2014), with trial votes before an election (Ongaro's dissertation, section 9.6), step-down without a
-majority (section 6.2), and a data folder's identity behind every vote.
+following, leadership, compaction, what is applied. The rules are Raft's as published (Ongaro and
+Ousterhout, 2014), with trial votes before an election (Ongaro's dissertation, section 9.6),
+step-down without a majority (section 6.2), and a data folder's identity behind every vote.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from foldloom.clock import monotonic_ms
 from foldloom.controllers.applied import AppliedState
 from foldloom.controllers.commands import Answer
+from foldloom.controllers.compaction import Compaction
 from foldloom.controllers.config import ANY_STORAGE, Config
 from foldloom.controllers.election import Elections
 from foldloom.controllers.following import Following
@@ -33,16 +34,11 @@
 from foldloom.settings import Settings
 from foldloom.tasks import TaskSet
 
-# Entries and bytes of the log at which it is replaced by a snapshot. Not measured: chosen so that a
-# restart replays little, and the disk of 128 MB of the users' controllers is never near full.
-_SNAPSHOT_ENTRIES = 200
-# The same in bytes of the log.
-_SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 # Milliseconds for a commit. Not measured: chosen above several elections.
 _PROPOSE_TIMEOUT_MS = 5_000
 # Seconds between two attempts to open a data folder again whose disk failed. Not measured: chosen
-# because a full disk of the bench refuses writes for 6 s, and one attempt costs a read and a write
-# of the whole log.
+# because a disk that is full may be freed at any time, and one attempt costs a read and a write of
+# the whole log.
 _REOPEN_INTERVAL_S = 1.0
 
 
@@ -84,7 +80,7 @@
         self._leader_contact_ms = monotonic_ms()
         self.turn = asyncio.Lock()
         self._tasks = TaskSet()
-        self._is_compacting = False
+        self._compaction = Compaction(self, self._tasks)
         self._begin_with(*open_storage(settings))
         self._elections = Elections(self)
         Following(self)
@@ -146,6 +142,11 @@
         """This data folder's id."""
         return self._storage.identity.storage_id
 
+    @property
+    def log_bytes(self) -> int:
+        """The log file's size in bytes."""
+        return self._storage.log_bytes
+
     @property
     def is_first(self) -> bool:
         """Whether an operator formatted this data folder."""
@@ -156,12 +157,6 @@
         """Whether this controller's memory counts."""
         return not self._is_failed and self.is_counted(self.box, self.storage_id, self.is_first)
 
-    @property
-    def _is_snapshot_due(self) -> bool:
-        if self.log.entry_count > _SNAPSHOT_ENTRIES:
-            return True
-        return self._storage.log_bytes > _SNAPSHOT_LOG_BYTES
-
     @property
     def summary(self) -> dict[str, object]:
         """Facts for ``foldloom status``."""
@@ -171,7 +166,7 @@
             "commit_index": self.applied.commit_index,
             "may_vote": self.may_vote,
             "is_failed": self._is_failed,
-            "log_bytes": self._storage.log_bytes,
+            "log_bytes": self.log_bytes,
             "bytes_written": self._storage.bytes_written,
         }
 
@@ -299,9 +294,7 @@
     def commit(self, index: int) -> None:
         """Commit and apply the entries up to *index*."""
         self.applied.commit(index, self._resolve)
-        if self._is_snapshot_due and not self._is_compacting:
-            self._is_compacting = True
-            self._tasks.spawn(self._compact())
+        self._compaction.run_if_due()
 
     def _resolve(self, index: int, answer: Answer) -> None:
         """Return an applied entry's answer to its proposer, if that is on this box."""
@@ -343,15 +336,3 @@
             else:
                 self.step_down()
         self._on_config(config, changes)
-
-    async def _compact(self) -> None:
-        log, snapshot = self.log, self.applied.snapshot
-        try:
-            await log.compact(snapshot)
-            CONTROLLER_LOG.info("Snapshot up to entry {}.", snapshot.last_index)
-        except OSError as error:
-            # The log may have been opened again since; then this was about the one before.
-            if log is self.log:
-                self.fail(error)
-        finally:
-            self._is_compacting = False
