--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import os
+import shutil
 import signal
 import sys
 import time
@@ -50,13 +51,15 @@
     took_ms: float
 
 
-def steps(tasks: int = 1, ms: int = 20, how: str = "done", estimate_ms: int = 0) -> dict[str, Any]:
+def steps(
+    tasks: int = 1, ms: int = 20, how: str = "done", estimate_ms: int = 0, cpu_milli: int = 1_000
+) -> dict[str, Any]:
     """Return the body of a job that need not be kept.
 
     A generous *estimate_ms* lets it be late without being given up on a busy machine.
     """
     spec = msgspec.json.encode({"ms": ms, "how": how}).decode()
-    phase = {"count": tasks, "cpu": 1_000, "mem_mb": 64, "estimate_ms": estimate_ms or ms}
+    phase = {"count": tasks, "cpu": cpu_milli, "mem_mb": 64, "estimate_ms": estimate_ms or ms}
     return {"spec": spec, "phases": [phase], "best_effort": True}
 
 
@@ -65,27 +68,48 @@
     return f"{number:016x}"
 
 
+def job_url(front: str, text: str, deadline_ms: int) -> tuple[str, dict[str, str]]:
+    """Return where a job with this id is handed in, and the headers that go with it."""
+    headers = {"Host": _HOST, "X-Foldloom-Deadline-Ms": str(deadline_ms)}
+    return f"http://{front}{_PREFIX}{text}", headers
+
+
 class PlatformSystem:
-    """One controller, some entry processes and some endpoints.
+    """Some controllers, entry processes and endpoints, over the zones in turn.
 
     Args:
-        folder: Where settings and the controller's disk lie.
+        folder: Where settings and the controllers' disks lie.
         entries: How many entry processes.
         endpoints: How many endpoints.
+        controllers: How many controllers.
+        zones: The zones' names.
     """
 
-    def __init__(self, folder: Path, entries: int = 3, endpoints: int = 2) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        entries: int = 3,
+        endpoints: int = 2,
+        controllers: int = 1,
+        zones: str = _ZONE,
+    ) -> None:
+        self.controllers = [f"c{number}" for number in range(controllers)]
         self.entries = [f"e{number}" for number in range(entries)]
         self.sightings = Sightings()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._folder = folder
         self._ports = {name: free_port() for name in ("peer", "front", "ready", "control")}
         subnet = _next_subnet()
-        names = ["c0", *self.entries]
+        names = [*self.controllers, *self.entries]
+        self._zones = {name: zones[int(name[1:]) % len(zones)] for name in names}
         self._ips = {name: f"{subnet}.{number + 1}" for number, name in enumerate(names)}
         self.endpoints = [
             RunEndpoint(
-                f"w{number}", f"{subnet}.{100 + number}", free_port(), _ZONE, self.sightings
+                f"w{number}",
+                f"{subnet}.{100 + number}",
+                free_port(),
+                zones[number % len(zones)],
+                self.sightings,
             )
             for number in range(endpoints)
         ]
@@ -96,6 +120,11 @@
         """Where endpoints and the operator call."""
         return self.address("c0", "control")
 
+    @property
+    def controls(self) -> list[str]:
+        """Where endpoints and the operator call, at each controller."""
+        return [self.address(name, "control") for name in self.controllers]
+
     def address(self, name: str, listener: str) -> str:
         """Return ``IP:port`` of one of a machine's listeners."""
         return f"{self._ips[name]}:{self._ports[listener]}"
@@ -114,7 +143,7 @@
         for name in self._ips:
             await self.start(name, is_first=True)
         for endpoint in self.endpoints:
-            await endpoint.start([self.control])
+            await endpoint.start(self.controls)
         await self.until(lambda: self.configure(1), "the configuration is acknowledged")
         for name in self.entries:
             await self.until(lambda name=name: self._is_ready(name), f"{name} is ready")
@@ -179,8 +208,13 @@
         }
         return max(tokens, key=lambda name: tokens[name])
 
-    async def configure(self, version: int) -> bool:
-        """Send a configuration; return whether it was acknowledged."""
+    def wipe(self, name: str) -> None:
+        """Empty a controller's disk, while its program does not run."""
+        shutil.rmtree(self._folder / name)
+        (self._folder / name).mkdir()
+
+    async def configure(self, version: int, controller: str = "c0") -> bool:
+        """Send a configuration to a controller; return whether it was acknowledged."""
         route = {
             "name": "jobs",
             "host": _HOST,
@@ -192,9 +226,15 @@
             "extension": 1.6,
         }
         document = {"version": version, "routes": [route], "services": [{"name": SERVICE}]}
-        url = f"http://{self.control}/foldloom/config"
+        url = f"http://{self.address(controller, 'control')}/foldloom/config"
         return (await self._call("PUT", url, document)).status == 200
 
+    async def read_version(self, controller: str) -> int | None:
+        """Return the version that a controller shows, or ``None`` if it is not sure."""
+        url = f"http://{self.address(controller, 'control')}/foldloom/config"
+        answer = await self._call("GET", url)
+        return int(answer.fields["version"]) if answer.status == 200 else None
+
     async def submit(self, entry: str, number: int, body: Any, deadline_ms: int = 4_000) -> Answer:
         """Hand a job in and return its answer."""
         return await self.submit_text(entry, job_id(number), body, deadline_ms)
@@ -203,8 +243,7 @@
         self, entry: str, text: str, body: Any, deadline_ms: int = 4_000
     ) -> Answer:
         """Hand a job in under an id that may be wrong; a body of bytes is sent as it is."""
-        url = f"http://{self.address(entry, 'front')}{_PREFIX}{text}"
-        headers = {"Host": _HOST, "X-Foldloom-Deadline-Ms": str(deadline_ms)}
+        url, headers = job_url(self.address(entry, "front"), text, deadline_ms)
         return await self._call("POST", url, body, headers)
 
     async def until(self, condition: Callable[[], Awaitable[bool]], what: str) -> None:
@@ -216,6 +255,12 @@
             await asyncio.sleep(0.05)
         raise AssertionError(f"not within {_WAIT_S} s: {what}")
 
+    async def is_up(self, name: str) -> bool:
+        """Return whether a machine's program answers HTTP; one that is starting does not."""
+        if name in self.controllers:
+            return (await self._call("GET", f"http://{self.address(name, 'control')}/")).status != 0
+        return (await self._call("GET", f"http://{self.address(name, 'ready')}/")).status != 0
+
     async def _is_ready(self, name: str) -> bool:
         url = f"http://{self.address(name, 'ready')}/foldloom/readyz"
         return (await self._call("GET", url)).status == 200
@@ -247,14 +292,14 @@
         lines = [
             f'node_name = "{name}"',
             f'ip = "{ip}"',
-            f'zone = "{_ZONE}"',
+            f'zone = "{self._zones[name]}"',
             f"internal_ports = [{peer}, {peer}]",
-            f'seed_nodes = ["{self.control}"]',
+            f"seed_nodes = {msgspec.json.encode(self.controls).decode()}",
             f"bootstrap = {str(is_first).lower()}",
         ]
         if name.startswith("c"):
             lines.append(f'data_dir = "{self._folder / name}"')
-            listen = [f'control_plane = "{self.control}"']
+            listen = [f'control_plane = "{self.address(name, "control")}"']
         else:
             listen = [
                 f'frontend = "{self.address(name, "front")}"',
--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import msgspec
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from bodies import task_of, task_text
 from foldloom.seed_discovery.endpoints.calls import CallOutcome, EndKind
@@ -24,6 +24,8 @@
 SERVICE = "svc"
 CAPACITY = {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}
 _BEAT_S = 0.3
+# A heartbeat counts only if it is acknowledged within a second.
+_REPORT_TIMEOUT = ClientTimeout(total=1.0)
 _LAPSE_S = 0.005
 _CLOCK_RATE = 0.98
 _REASONS = {
@@ -42,17 +44,26 @@
 
     def __init__(self) -> None:
         self.starts: Counter[TaskId] = Counter()
+        self.done: set[TaskId] = set()
         self.doubled: list[TaskId] = []
         self.newest_start_s = 0.0
+        self.newest_start_of: dict[str, float] = {}
         self.endpoints: list[RunEndpoint] = []
 
     def note_start(self, task: TaskId) -> None:
         """Note a start and look where else the task runs."""
         self.starts[task] += 1
         self.newest_start_s = time.monotonic()
-        if sum(task in endpoint.simulated.active for endpoint in self.endpoints) > 1:
+        self.newest_start_of[task.job_id] = self.newest_start_s
+        if len(self.running(task)) > 1:
             self.doubled.append(task)
 
+    def running(self, task: TaskId) -> list[RunEndpoint]:
+        """Return the endpoints on which *task* runs now; a lease that is over ends it there."""
+        for endpoint in self.endpoints:
+            endpoint.simulated.lapse(_now_ms())
+        return [one for one in self.endpoints if task in one.simulated.active]
+
 
 class RunEndpoint:
     """One endpoint.
@@ -70,6 +81,7 @@
         self.simulated = SimulatedEndpoint(name, _CLOCK_RATE)
         self.state = "ready"
         self.is_silent = False
+        self.starts_late_s = 0.0
         self.is_draining_known = False
         self.starts_after_draining = 0
         self._address = (host, port)
@@ -116,11 +128,13 @@
         self._is_stopped.set()
         for task in self._tasks:
             task.cancel()
+        # What runs on it dies with it.
+        self.simulated.active.clear()
         if self._runner is not None:
             await self._runner.cleanup()
 
     async def _beat(self, controllers: list[str]) -> None:
-        async with ClientSession() as session:
+        async with ClientSession(timeout=_REPORT_TIMEOUT) as session:
             while True:
                 self._sequence += 1
                 await self._report(session, controllers[self._sequence % len(controllers)])
@@ -140,7 +154,7 @@
         try:
             async with session.put(url, json=report) as response:
                 is_known = response.status == 200
-        except ClientError:
+        except (ClientError, TimeoutError):
             return
         if is_known and state == "draining":
             self.is_draining_known = True
@@ -158,6 +172,10 @@
             return web.Response(status=421)
         body = msgspec.json.decode(await request.read())
         match request.path:
+            case "/foldloom/run-start" if self.starts_late_s:
+                asyncio.get_running_loop().call_later(self.starts_late_s, self._start_late, body)
+                await self._is_stopped.wait()
+                return web.Response(status=503)
             case "/foldloom/run-start":
                 return self._start(body)
             case "/foldloom/run-stop":
@@ -181,9 +199,17 @@
             loop.call_later(spec.get("ms", 1) / 1_000, self._finish, run_id, how)
         return self._answer(200)
 
+    def _start_late(self, body: dict[str, Any]) -> None:
+        """Carry out an order that nobody got an answer to."""
+        if not self._is_stopped.is_set():
+            self._start(body)
+
     def _finish(self, run_id: RunId, how: EndKind) -> None:
+        self.simulated.lapse(_now_ms())
         if self.simulated.active.get(run_id.task) == run_id.attempt:
             self.simulated.finish(run_id.task, how, _now_ms())
+            if how is EndKind.DONE:
+                self._sightings.done.add(run_id.task)
         self._has_end.set()
 
     def _stop(self, body: dict[str, Any]) -> web.Response:
