--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -28,6 +28,9 @@
 _TASK_MS = (20, 60, 200, 600)
 # Thousandths of cores: two tasks fill an endpoint, so that jobs wait and are refused.
 _TASK_MILLI = 6_800
+# Numbers of the callers' jobs; those of other jobs on the system lie outside.
+_FIRST_JOB = 10**6
+END_OF_JOBS = 10**9
 _NO_ANSWER = 0
 _LEFT = -1
 _REJECTED = (429, 503)
@@ -58,7 +61,7 @@
     def __init__(self, system: PlatformSystem, rng: random.Random) -> None:
         self._system = system
         self._rng = rng
-        self._numbers = iter(range(10**6, 10**9))
+        self._numbers = iter(range(_FIRST_JOB, END_OF_JOBS))
         self.sent: dict[str, list[Sent]] = {}
         self.tasks: dict[str, int] = {}
 
@@ -139,7 +142,7 @@
 
     def _unasked(self) -> list[str]:
         begun = {task.job_id for task in self._system.sightings.starts}
-        ours = {text for text in begun if int(text, 16) >= 10**6 and int(text, 16) < 10**9}
+        ours = {text for text in begun if _FIRST_JOB <= int(text, 16) < END_OF_JOBS}
         return [f"{text} was never handed in" for text in ours - set(self.sent)]
 
     @property
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,8 @@
 """A soak of the real programs: faults drawn by seed, promises checked meanwhile and afterwards.
 
 ``FOLDLOOM_SOAK_SEEDS`` plays so many seeds from ``FOLDLOOM_SOAK_FIRST`` on; each takes about half a
-minute. A seed draws the same faults again, but real processes meet them at other moments.
+minute. ``FOLDLOOM_SOAK_CROWDED=1`` plays them with many more processes than the machine has cores.
+A seed draws the same faults again, but real processes meet them at other moments.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 import pytest
 
 from platform_system import PlatformSystem, steps
-from soak_callers import Callers, Operator
+from soak_callers import END_OF_JOBS, Callers, Operator
 from soak_faults import Faults
 
 # Seconds until all is served again after the last fault.
@@ -37,10 +38,11 @@
     callers: int
 
 
-# Every fourth seed has as many processes as a run beside other tests bears.
+# Every fourth seed has as many processes as a run beside other tests bears; by hand, more.
 _SMALL = _Size("a", 3, 2, 3, 6)
 _USUAL = _Size("ab", 3, 4, 6, 10)
 _LARGE = _Size("abc", 3, 9, 12, 20)
+_CROWDED = _Size("abc", 5, 40, 40, 40)
 _SIZES = [_USUAL, _SMALL, _USUAL, _LARGE]
 
 
@@ -62,7 +64,7 @@
     await asyncio.gather(
         callers.run(size.callers, is_over), operator.run(is_over), faults.run(_FAULTS, is_over)
     )
-    numbers = list(range(10**9, 10**9 + 10_000))
+    numbers = list(range(END_OF_JOBS, END_OF_JOBS + 10_000))
     recovering = time.monotonic()
     await system.until(lambda: _is_served(system, numbers), "all entry processes serve again")
     recovered_s = time.monotonic() - recovering
@@ -95,6 +97,7 @@
 
 _FIRST_SEED = int(os.environ.get("FOLDLOOM_SOAK_FIRST", "0"))
 _SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "4"))
+_IS_CROWDED = bool(os.environ.get("FOLDLOOM_SOAK_CROWDED"))
 
 
 @pytest.mark.parametrize("seed", range(_FIRST_SEED, _FIRST_SEED + _SEEDS))
@@ -103,7 +106,7 @@
 
     def test_the_promises_hold(self, tmp_path: Path, seed: int) -> None:
         """Refused is not run, completed is done, one task is in one place, all is served again."""
-        size = _SIZES[seed % len(_SIZES)]
+        size = _CROWDED if _IS_CROWDED else _SIZES[seed % len(_SIZES)]
 
         async def run() -> None:
             async with PlatformSystem(
