A soak's process that does not stop says where it stands; one such is listed as open

Cause: seed 127 of 56 by hand failed once: an entry process stood still while it stopped. Its log can't tell where. Ruled out: its log alone (controllers got no replies from it either); a freeze by the soak (the same lock guards both). Change: the programs of system tests have their fault handler on, and a soak ends such a process by SIGABRT. The seed is kept; a finding, open.

--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -166,7 +166,7 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(_ROOT / "platform" / f"{program}.py"),
-                env={**os.environ, "FOLDLOOM_SETTINGS": str(path)},
+                env={**os.environ, "FOLDLOOM_SETTINGS": str(path), "PYTHONFAULTHANDLER": "1"},
                 stdout=log,
                 stderr=log,
             )
@@ -178,6 +178,12 @@
             process.kill()
         await process.wait()
 
+    async def abort(self, name: str) -> None:
+        """End a machine's program so that it writes to its log where each thread stands."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGABRT)
+        await process.wait()
+
     def freeze(self, name: str) -> None:
         """Let a machine's program stand still."""
         self.processes[name].send_signal(signal.SIGSTOP)
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -119,8 +119,8 @@
             async with asyncio.timeout(_STOPPED_WITHIN_S):
                 code = await process.wait()
         except TimeoutError:
-            self.broken.append(f"{name} did not stop within {_STOPPED_WITHIN_S} s")
-            await self._system.kill(name)
+            self.broken.append(f"{name} did not stop within {_STOPPED_WITHIN_S} s: see its log")
+            await self._system.abort(name)
             return
         if code and (was_up or code != -signal.SIGTERM):
             self.broken.append(f"{name} ended with {code} when it was stopped")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,10 +97,12 @@
 
 _FIRST_SEED = int(os.environ.get("FOLDLOOM_SOAK_FIRST", "0"))
 _SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "4"))
+# 127: an entry process stood still for 10 s while it stopped, and was ended; not traced.
+_KEPT_SEEDS = [127]
 _IS_CROWDED = bool(os.environ.get("FOLDLOOM_SOAK_CROWDED"))
 
 
-@pytest.mark.parametrize("seed", range(_FIRST_SEED, _FIRST_SEED + _SEEDS))
+@pytest.mark.parametrize("seed", [*_KEPT_SEEDS, *range(_FIRST_SEED, _FIRST_SEED + _SEEDS)])
 class TestSoak:
     """Processes are stopped, killed, frozen; disks emptied; endpoints late, silent, replaced."""
 
