The operators' routes don't import the coordinator for reading a body

It had passed alone and beside few other files. Ruled out: other tests (each module of tests imported in one process: no error now). Change: read_body and the type of a problem are in entry/bodies.py.

--- a/src/foldloom/static_peers/entry/http.py
+++ b/src/foldloom/static_peers/entry/http.py
@@ -19,6 +19,7 @@
 from foldloom.ids import is_valid_submission
 from foldloom.metrics import Metrics
 from foldloom.settings import Settings
+from foldloom.static_peers.entry.bodies import PROBLEM_TYPE, read_body
 from foldloom.static_peers.entry.coordinator import Coordinator
 from foldloom.static_peers.entry.jobs import Response, problem_response
 from foldloom.static_peers.entry.lookup import JobLookup
@@ -26,7 +27,6 @@
 from foldloom.verdicts import Problem, not_run
 
 JSON_TYPE = "application/json"
-PROBLEM_TYPE = "application/problem+json"
 # Seconds for connections that are still open when a box ends; its jobs have been answered by then.
 _SHUTDOWN_TIMEOUT_S = 1.0
 # The longest line of a request's head: aiohttp's own default, which the handler must be given.
@@ -44,18 +44,6 @@
     )
 
 
-async def read_body(request: web.Request, timeout_ms: int) -> bytes | Problem:
-    """Return the whole body, or the problem to answer with."""
-    try:
-        async with asyncio.timeout(timeout_ms / 1_000):
-            return await request.read()
-    except TimeoutError:
-        # The caller is too slow, or gone.
-        return not_run("body-timeout", "the body did not arrive in time", status=408)
-    except web.HTTPRequestEntityTooLarge as error:
-        return not_run("too-large", f"body: {error.text}", status=413)
-
-
 class _BoundedHandler(RequestHandler):
     """One connection, closed if no request head arrives in time."""
 
--- a/src/foldloom/static_peers/entry/operators.py
+++ b/src/foldloom/static_peers/entry/operators.py
@@ -24,7 +24,7 @@
 from foldloom.controllers.plans import Plan, make_plan
 from foldloom.logs import CONFIG_LOG
 from foldloom.settings import Settings
-from foldloom.static_peers.entry.http import PROBLEM_TYPE, read_body
+from foldloom.static_peers.entry.bodies import PROBLEM_TYPE, read_body
 from foldloom.static_peers.entry.jobs import problem_response
 from foldloom.verdicts import Problem, not_run
 
