Limits of time count the time for which the machine was suspended

What callers saw: a job whose deadline passed while its box was suspended was answered 1.6 s after the box was back, with 0.3 s to its deadline when it was suspended and 3 s gone.

Cause: timers of the event loop go by CLOCK_MONOTONIC, so each one that was running fires late by the time of the suspension.

Change: TimeLimit in place of asyncio.timeout wherever a bound was promised: a job's deadline, the wait for a body, a request between boxes, a proposal, a barrier, the bound of a planned stop. It knows its end by the clock that counts a suspension; the watch of pauses, which looks every 100 ms, sets all that are open anew when it finds one. Why that is enough: whatever decides anything reads the clock at that moment.

Every other timer was gone through. Left on the event loop's: ticks and polls of up to 0.65 s, which only repeat; the wait for an endpoint's answer (aiohttp's, 0.25 s) and the suspicion of one that is overdue (0.28 s); election time-outs, which look at the silence by the clock when they fire; the wait until a run is gone for certain and the retention of claims, late ones of which are on the safe side.

--- a/src/foldloom/controllers/holder.py
+++ b/src/foldloom/controllers/holder.py
@@ -21,6 +21,7 @@
 from foldloom.logs import CONFIG_LOG
 from foldloom.peers.wire import PeerNetwork
 from foldloom.tasks import TaskSet
+from foldloom.time_limits import TimeLimit
 
 _CACHE_NAME = "config-in-force"
 # Milliseconds for a pull of changes or of the whole configuration. Not measured: chosen for some
@@ -69,7 +70,7 @@
     async def wait_version(self, version: int, timeout_s: float) -> bool:
         """Wait until *version* or a later one is in force here; return whether it is in time."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with TimeLimit(timeout_s * 1_000):
                 while self._config.version < version:
                     self._adopted.clear()
                     await self._adopted.wait()
--- a/src/foldloom/controllers/leadership.py
+++ b/src/foldloom/controllers/leadership.py
@@ -18,6 +18,7 @@
 from foldloom.controllers.voter_changes import VoterChanges
 from foldloom.exceptions import NotLeaderError, PeerUnreachableError
 from foldloom.logs import CONTROLLER_LOG
+from foldloom.time_limits import TimeLimit
 
 # Entries in one append. Not measured: chosen to bound a message to some hundred kilobytes.
 _ENTRIES_PER_APPEND = 500
@@ -113,9 +114,8 @@
         started = monotonic_ms()
         self._wake_all()
         try:
-            async with asyncio.timeout(self._controller.election_timeout_ms / 1_000):
-                async with self._answered:
-                    await self._answered.wait_for(lambda: self._is_current_since(started))
+            async with TimeLimit(self._controller.election_timeout_ms), self._answered:
+                await self._answered.wait_for(lambda: self._is_current_since(started))
         except TimeoutError:
             raise NotLeaderError() from None
 
@@ -153,14 +153,14 @@
 
     async def _replicate(self, box: str) -> None:
         """Send *box* what it misses, and heartbeats, one append at a time."""
-        interval = self._controller.election_timeout_ms / _HEARTBEATS_PER_ELECTION_TIMEOUT / 1_000
+        interval_ms = self._controller.election_timeout_ms / _HEARTBEATS_PER_ELECTION_TIMEOUT
         while True:
             self._wakeups[box].clear()
             is_behind = await self._replicate_once(box)
             if is_behind:
                 continue
             try:
-                async with asyncio.timeout(interval):
+                async with TimeLimit(interval_ms):
                     await self._wakeups[box].wait()
             except TimeoutError:
                 # Nothing to send: a heartbeat is due.
--- a/src/foldloom/controllers/proposals.py
+++ b/src/foldloom/controllers/proposals.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Protocol
 
 from foldloom.controllers.commands import Answer
@@ -14,6 +13,7 @@
 from foldloom.controllers.leadership import Leadership
 from foldloom.controllers.state import ReplicatedState
 from foldloom.exceptions import NotLeaderError, PeerUnreachableError
+from foldloom.time_limits import TimeLimit
 
 # Milliseconds for a commit. Not measured: chosen above several elections.
 _PROPOSE_TIMEOUT_MS = 5_000
@@ -42,7 +42,7 @@
     """
     leadership = _leadership_of(controller)
     try:
-        async with asyncio.timeout(_PROPOSE_TIMEOUT_MS / 1_000):
+        async with TimeLimit(_PROPOSE_TIMEOUT_MS):
             return await leadership.propose(payload)
     except (TimeoutError, NotLeaderError):
         raise PeerUnreachableError("no majority confirmed it; it may still be") from None
--- a/src/foldloom/pauses.py
+++ b/src/foldloom/pauses.py
@@ -1,11 +1,11 @@
 # SPDX-License-Identifier: MIT
-"""The times when this process stood still, for its log.
+"""The times when this process stood still, for its log and for its limits of time.
 
 Owns nothing. Relies on the event loop: a timer that fires late shows that nothing else ran either.
 
 A box that stands still looks to the others like one whose connections are cut: its rights and its
 leases lapse, its runs are lost and started again. Without a line in its own log nothing would tell
-the two apart.
+the two apart. After a suspension of its machine the limits of time that are open are set anew.
 """
 
 from __future__ import annotations
@@ -17,11 +17,14 @@
 
 from foldloom.clock import monotonic_ms, running_ms
 from foldloom.logs import PROCESS_LOG
+from foldloom.time_limits import catch_up
 
 # Milliseconds between two looks at the clock.
 _LOOK_EVERY_MS = 100.0
 # Milliseconds that a process must have stood still to be noted: less does not cost it a right.
 PAUSE_MIN_MS = 100.0
+# Milliseconds that the two clocks may differ over one look without a suspension.
+_SUSPENDED_MIN_MS = 10.0
 
 
 class Pause(NamedTuple):
@@ -46,6 +49,8 @@
         await asyncio.sleep(_LOOK_EVERY_MS / 1_000)
         passed_ms = monotonic_ms() - looked_ms
         suspended_ms = passed_ms - (running_ms() - ran_ms)
+        if suspended_ms >= _SUSPENDED_MIN_MS:
+            catch_up()
         paused_ms = max(passed_ms - _LOOK_EVERY_MS, suspended_ms)
         if paused_ms < PAUSE_MIN_MS:
             continue
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -38,6 +38,7 @@
 )
 from foldloom.settings import PeerSettings, Settings
 from foldloom.tasks import TaskSet
+from foldloom.time_limits import TimeLimit
 
 # Bits of the number of a life's first request; all numbers of a life fit 64 bits.
 _REQUEST_ID_BITS = 62
@@ -168,7 +169,7 @@
         try:
             self._enqueue(box, message, request_id, 0, int(timeout_ms) + 1)
             # Not wait_for: up to Python 3.11 it loses a cancellation that comes with the reply.
-            async with asyncio.timeout(timeout_ms / 1_000):
+            async with TimeLimit(timeout_ms):
                 return await future
         except TimeoutError:
             raise PeerUnreachableError(f"{box} did not answer in {timeout_ms:.0f} ms") from None
--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -35,6 +35,7 @@
 from foldloom.seed_discovery.owners.zone_owner import ZoneOwner
 from foldloom.settings import ENTRY, Settings
 from foldloom.tasks import TaskSet
+from foldloom.time_limits import TimeLimit, sleep
 
 # Milliseconds without any owner's heartbeat after which the box is not ready. Not measured: chosen
 # as three times what a zone without an owner took to get one on loopback (444 to 527 ms).
@@ -121,7 +122,7 @@
     async def wait_configured(self, timeout_ms: float) -> QueueTable | None:
         """Return the queues as soon as there are some, or ``None`` after *timeout_ms*."""
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
+            async with TimeLimit(timeout_ms):
                 await self._is_configured.wait()
         except TimeoutError:
             # Not configured yet: the caller answers that, with when to come back.
@@ -144,12 +145,12 @@
         successor = self._elector.resign()
         ENTRY_LOG.event("process.stopping", zone_handed_to=successor, jobs=self._jobs.running_count)
         await self._joiner.announce()
-        await asyncio.sleep(self._settings.timings.drain_ms / 1_000)
+        await sleep(self._settings.timings.drain_ms)
 
     async def give_up_jobs(self) -> None:
         """Answer what is still in flight when the bound of a planned stop is reached."""
         timings = self._settings.timings
-        await asyncio.sleep((timings.stop_timeout_ms - timings.drain_ms) / 1_000)
+        await sleep(timings.stop_timeout_ms - timings.drain_ms)
         ENTRY_LOG.event("process.gives_up", jobs=self._jobs.running_count)
         self._jobs.give_up_all()
 
--- a/src/foldloom/seed_discovery/fleet/publisher.py
+++ b/src/foldloom/seed_discovery/fleet/publisher.py
@@ -20,6 +20,7 @@
 from foldloom.exceptions import NotLeaderError, PeerUnreachableError
 from foldloom.peers.wire import PeerNetwork
 from foldloom.seed_discovery.fleet.messages import ReadPublished, ReadReply
+from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, may_have_run, not_run
 
 # Seconds until the leader is looked for again. Not measured: chosen small against an election
@@ -91,7 +92,7 @@
         """
         if self._controller.is_leading:
             try:
-                async with asyncio.timeout(left_ms / 1_000):
+                async with TimeLimit(left_ms):
                     return await propose(self._controller, payload)
             except TimeoutError:
                 raise PeerUnreachableError("not committed in time") from None
--- a/src/foldloom/seed_discovery/job_runner.py
+++ b/src/foldloom/seed_discovery/job_runner.py
@@ -29,6 +29,7 @@
     SubmitStatus,
 )
 from foldloom.seed_discovery.owners.open_job import OpenJob
+from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
 
 # Milliseconds after which a caller whose job was given up should come back. Not measured: chosen as
@@ -133,7 +134,7 @@
 
     async def _run_until_deadline(self) -> JobResult:
         try:
-            async with asyncio.timeout((self._deadline_ms - monotonic_ms()) / 1_000):
+            async with TimeLimit(self._deadline_ms - monotonic_ms()):
                 return await self._run_steps()
         except TimeoutError:
             # The caller's deadline, which may cut any wait below short.
--- a/src/foldloom/static_peers/entry/bodies.py
+++ b/src/foldloom/static_peers/entry/bodies.py
@@ -3,10 +3,9 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from aiohttp import web
 
+from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, not_run
 
 PROBLEM_TYPE = "application/problem+json"
@@ -15,7 +14,7 @@
 async def read_body(request: web.Request, timeout_ms: int) -> bytes | Problem:
     """Return the whole body, or the problem to answer with."""
     try:
-        async with asyncio.timeout(timeout_ms / 1_000):
+        async with TimeLimit(timeout_ms):
             return await request.read()
     except TimeoutError:
         # The caller is too slow, or gone.
--- a/src/foldloom/static_peers/entry/follow.py
+++ b/src/foldloom/static_peers/entry/follow.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from enum import Enum
 from typing import NamedTuple
 
@@ -34,6 +33,7 @@
     HandoverReply,
 )
 from foldloom.static_peers.membership import Membership
+from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, may_have_run, not_run
 
 # Milliseconds for which the coordinator holds one question about a job. Not measured: chosen to
@@ -196,7 +196,7 @@
     async def _wait(self, job: Job, wait_ms: int) -> None:
         """Wait until *job* ends, or is known not to run here, for *wait_ms* at most."""
         try:
-            async with asyncio.timeout(wait_ms / 1_000):
+            async with TimeLimit(wait_ms):
                 await job.wait_decided()
                 if job.state is JobState.RUNNING:
                     await job.wait_finished()
--- a/src/foldloom/static_peers/entry/run.py
+++ b/src/foldloom/static_peers/entry/run.py
@@ -25,6 +25,7 @@
 from foldloom.static_peers.placement.messages import SlotRefusal, SlotUse
 from foldloom.static_peers.placement.retries import RetryBudget, may_retry
 from foldloom.static_peers.placement.slots import Slot, SlotSource, SlotWaiter
+from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
 
 # Milliseconds after which a caller should come back whose job no endpoint took. Not measured.
@@ -139,9 +140,8 @@
         """Return what happened next, or ``None`` at the deadline."""
         if not self._events.empty():
             return self._events.get_nowait()
-        left_s = (self._deadline_ms - monotonic_ms()) / 1_000
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with TimeLimit(self._deadline_ms - monotonic_ms()):
                 return await self._events.get()
         except TimeoutError:
             # The deadline: the caller of this gives the job up.
--- a/src/foldloom/static_peers/entry_role.py
+++ b/src/foldloom/static_peers/entry_role.py
@@ -41,6 +41,7 @@
 from foldloom.static_peers.placement.shards import Managers
 from foldloom.static_peers.placement.slots import SlotSource
 from foldloom.tasks import TaskSet
+from foldloom.time_limits import TimeLimit
 
 # Milliseconds for which the manager of a shard is not determined again. Not measured: chosen
 # because it is asked for with each lease, and changes with membership (1,000 ms of silence).
@@ -161,7 +162,7 @@
     async def drain(self) -> None:
         """Finish the jobs in flight and pass kept answers on, within the set bound."""
         try:
-            async with asyncio.timeout(self._settings.timings.stop_timeout_ms / 1_000):
+            async with TimeLimit(self._settings.timings.stop_timeout_ms):
                 await self._coordinator.finish_all()
                 await self._pass_answers_on()
         except TimeoutError:
