--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -71,6 +71,13 @@
     return {"spec": spec, "phases": [phase], "best_effort": True}
 
 
+def crashing_steps(crash_ms: int, ms: int = 1_000) -> dict[str, Any]:
+    """Return the body of a job of one task that crashes each endpoint that starts it."""
+    body = steps(1, ms)
+    body["spec"] = msgspec.json.encode({"ms": ms, "crash_ms": crash_ms}).decode()
+    return body
+
+
 def job_id(number: int) -> str:
     """Return the id of the job with this number."""
     return f"{number:016x}"
--- /dev/null
+++ b/tests/soak_suspensions.py
@@ -0,0 +1,77 @@
+# SPDX-License-Identifier: MIT
+"""Machines that are suspended, beside the faults of processes, disks and endpoints.
+
+One box, several, a whole zone or a controller at a time; each box's steady clock leaves out the
+time for which it was suspended, from 0.1 to 10 s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from platform_system import PlatformSystem
+from soak_faults import CATCH_UP_S, Faults
+
+# Seconds that suspensions last: most are short, some longer than anything that boxes wait for.
+_LASTS_S = [(0.1, 0.5), (0.3, 2.0), (0.3, 2.0), (2.0, 5.0), (5.0, 10.0)]
+# Seconds between two suspensions of a series.
+_AGAIN_S = (0.05, 1.0)
+_SERIES_MAX = 3
+
+
+class SuspensionFaults(Faults):
+    """The usual faults, and about as many suspensions.
+
+    Args:
+        system: The programs.
+        rng: Draws them.
+    """
+
+    def __init__(self, system: PlatformSystem, rng: random.Random) -> None:
+        super().__init__(system, rng)
+        self._kinds += [
+            *[self._suspend_entry] * 4,
+            *[self._suspend_in_series] * 3,
+            *[self._suspend_some] * 3,
+            *[self._suspend_zone] * 3,
+            *[self._suspend_controller] * 3,
+        ]
+
+    def _suspended_s(self) -> float:
+        return self._rng.uniform(*self._rng.choice(_LASTS_S))
+
+    async def _suspend_entry(self) -> None:
+        await self._suspend(self._any_entry(), self._suspended_s())
+
+    async def _suspend_in_series(self) -> None:
+        """One box again and again, also soon after it is back."""
+        name = self._any_entry()
+        for _ in range(self._rng.randint(2, _SERIES_MAX)):
+            await self._suspend(name, self._suspended_s() / 2)
+            await asyncio.sleep(self._rng.uniform(*_AGAIN_S))
+
+    async def _suspend_some(self) -> None:
+        """Several boxes, each for a time of its own."""
+        names = self._rng.sample(self._system.entries, len(self._system.entries) // 2 + 1)
+        await asyncio.gather(*(self._suspend(name, self._suspended_s()) for name in names))
+
+    async def _suspend_zone(self) -> None:
+        """All boxes of a zone for one time."""
+        zone = self._system.zone_of(self._any_entry())
+        seconds = self._suspended_s()
+        names = [name for name in self._system.entries if self._system.zone_of(name) == zone]
+        await asyncio.gather(*(self._suspend(name, seconds) for name in names))
+
+    async def _suspend_controller(self) -> None:
+        if self._controllers.locked():
+            return
+        async with self._controllers:
+            await self._suspend(self._rng.choice(self._system.controllers), self._suspended_s())
+            await asyncio.sleep(CATCH_UP_S)
+
+    async def _suspend(self, name: str, seconds: float) -> None:
+        async with self._turns.get(name, asyncio.Lock()):
+            self._system.suspend(name)
+            await asyncio.sleep(seconds)
+            self._system.resume(name)
--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -2,7 +2,9 @@
 """An endpoint stand-in that speaks the platform's runs, holds, leases and fences.
 
 It serves in the test's own event loop, so that a test can look at what ran where. A task's text
-is ``{"ms": N}``: it takes so long; ``{"how": "failed"}`` makes it end so.
+is ``{"ms": N}``: it takes so long; ``{"how": "failed"}`` makes it end so. ``{"crash_ms": N}`` makes
+the endpoint crash so long after the start, 0 before the order is answered; it is back under its id
+as another life after ``BACK_AFTER_S``.
 """
 
 from __future__ import annotations
@@ -28,6 +30,8 @@
 # A heartbeat counts only if it is acknowledged within a second.
 _REPORT_TIMEOUT = ClientTimeout(total=1.0)
 _LAPSE_S = 0.005
+# Seconds until an endpoint that a task has crashed is back.
+BACK_AFTER_S = 3.0
 # Seconds after the answer to its leave from which on an endpoint may be given nothing: the users'.
 LEFT_ALONE_AFTER_S = 2.0
 # Seconds that a box must have been undisturbed to be held to that: the users'.
@@ -60,6 +64,7 @@
         self.first_start_of: dict[str, float] = {}
         self.newest_start_of: dict[str, float] = {}
         self.endpoints: list[RunEndpoint] = []
+        self.crashes: Counter[TaskId] = Counter()
 
     def note_start(self, task: TaskId) -> None:
         """Note a start and look where else the task runs."""
@@ -120,10 +125,14 @@
         self._silent: set[Any] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._runner: web.ServerRunner | None = None
+        self._controllers: list[str] = []
+        self._crashing: asyncio.Task[None] | None = None
+        self._successor: RunEndpoint | None = None
         sightings.endpoints.append(self)
 
     async def start(self, controllers: list[str]) -> None:
         """Listen, and report to the *controllers* in turn."""
+        self._controllers = controllers
         self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
         await self._runner.setup()
         await web.TCPSite(self._runner, *self._address).start()
@@ -162,7 +171,26 @@
                 await (await session.delete(url)).read()
 
     async def stop(self) -> None:
-        """End it."""
+        """End it, and the lives that have followed a crash."""
+        if self._crashing is not None:
+            self._crashing.cancel()
+        if self._successor is not None:
+            await self._successor.stop()
+        await self._end()
+
+    def crash(self, task: TaskId) -> None:
+        """Crash under *task*; another life begins under the same id after ``BACK_AFTER_S``."""
+        if self._crashing is None:
+            self._sightings.crashes[task] += 1
+            self._crashing = asyncio.create_task(self._crash())
+
+    async def _crash(self) -> None:
+        await self._end()
+        await asyncio.sleep(BACK_AFTER_S)
+        self._successor = self.begin_again()
+        await self._successor.start(self._controllers)
+
+    async def _end(self) -> None:
         self._is_stopped.set()
         for task in self._tasks:
             task.cancel()
@@ -239,11 +267,25 @@
             self.starts += 1
             self._note_start_after_leave(run_id.task)
             spec = msgspec.json.decode(body["spec"])
+            if "crash_ms" in spec:
+                self._crash_in(spec["crash_ms"], run_id.task)
             how = EndKind(spec.get("how", "done"))
             loop = asyncio.get_running_loop()
             loop.call_later(spec.get("ms", 1) / 1_000, self._finish, run_id, how)
         return self._answer(200)
 
+    def _crash_in(self, ms: int, task: TaskId) -> None:
+        if ms:
+            asyncio.get_running_loop().call_later(ms / 1_000, self._crash_if_running, task)
+        else:
+            self.crash(task)
+
+    def _crash_if_running(self, task: TaskId) -> None:
+        """Crash under *task*, unless its lease is over or it was stopped."""
+        self.simulated.lapse(_now_ms())
+        if task in self.simulated.active:
+            self.crash(task)
+
     def _note_start_after_leave(self, task: TaskId) -> None:
         if not self.is_draining_known:
             return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,7 @@
 from soak_patience import PatientCallers
 from soak_same_id import SameIdFaults, begin_again_and_leave
 from soak_site_faults import SiteFaults
+from soak_suspensions import SuspensionFaults
 from soak_system import LAUNCHER, SiteSystem
 from standins.launch import CLOCK, STALL
 from standins.run_endpoint import Sightings
@@ -91,6 +92,17 @@
     await _check(seed, system, [callers], operator, faults)
 
 
+async def _play_suspensions(seed: int, system: PlatformSystem, size: _Size) -> None:
+    callers = Callers(system, random.Random(f"{seed} suspensions callers"))
+    operator = Operator(system, random.Random(f"{seed} suspensions operator"))
+    faults = SuspensionFaults(system, random.Random(f"{seed} suspensions faults"))
+    is_over = asyncio.Event()
+    await asyncio.gather(
+        callers.run(size.callers, is_over), operator.run(is_over), faults.run(_FAULTS, is_over)
+    )
+    await _check(seed, system, [callers], operator, faults)
+
+
 async def _play_same_id(seed: int, system: PlatformSystem, size: _Size) -> None:
     callers = Callers(system, random.Random(f"{seed} same id callers"))
     operator = Operator(system, random.Random(f"{seed} same id operator"))
@@ -184,6 +196,7 @@
 # CI plays fewer of a whole site: each takes a minute.
 _SITE_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
 _SAME_ID_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
+_SUSPENSION_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
 _KINDS = [kind for kind in os.environ.get("FOLDLOOM_SOAK_KINDS", "").split(",") if kind]
 _IS_CROWDED = bool(os.environ.get("FOLDLOOM_SOAK_CROWDED"))
 _MAY_TAKE = pytest.mark.timeout(_CROWDED_TIMEOUT_S if _IS_CROWDED else _TIMEOUT_S)
@@ -235,6 +248,16 @@
         _run(_play_same_id, PlatformSystem, tmp_path, seed)
 
 
+@pytest.mark.parametrize("seed", range(_FIRST_SEED, _FIRST_SEED + _SUSPENSION_SEEDS))
+@_MAY_TAKE
+class TestSuspensionSoak:
+    """Machines are suspended, one, several or a zone at a time, beside the faults of processes."""
+
+    def test_the_promises_hold(self, tmp_path: Path, seed: int) -> None:
+        """The same promises, and a box that was suspended serves again."""
+        _run(_play_suspensions, PlatformSystem, tmp_path, seed)
+
+
 _JOB = job_id(FIRST_JOB)
 
 
