A task that crashes its endpoints is given up, and its neighbours start elsewhere, each by itself

What callers saw: one such job took endpoint after endpoint until its deadline, was answered 504 and sent again; the jobs of others crashed with it, were placed anew beside it and crashed again.

Cause: nothing counted crashes, and placement fills one endpoint before it uses the next, so whatever was lost with an endpoint met again on the next one.

Change: an owner counts the endpoints that have crashed under a task. A crash is certain (nothing listens at its address, or another life answers there); a lapse in silence is none until the next life shows it; a planned leave and an order that found nobody listening are none. After one crash a task starts on an idle endpoint where there is one, after two nowhere else. Alone at one of two, or after three, it is given up and its job answered failed, at once. The count goes with a run's end and its next delivery, so another owner knows it too, and a job that is handed in again to the same owner starts nothing for 60 s. An order that was refused a connection was never given: its run is queued at once in place of after a lease.

Why it holds: of what crashed together only the guilty crashes again when it is alone, so neighbours are given up never, and the task after two or three crashes: fewer than the two further starts that are allowed after the third.

Ruled out: a bound on starts alone, by which neighbours reach the bound too.

The stand-in of an endpoint aborts its connections when it crashes: at first it answered a poll that waited with an empty list, which no process that has crashed does.

--- a/src/foldloom/seed_discovery/endpoints/calls.py
+++ b/src/foldloom/seed_discovery/endpoints/calls.py
@@ -29,6 +29,8 @@
     REFUSED = "refused"
     INVALID = "invalid"
     OTHER_LIFE = "other-life"
+    NO_LISTENER = "no-listener"
+    """Nothing listens at its address: it has crashed or ended, and the call did not reach it."""
     UNKNOWN = "unknown"
 
 
--- a/src/foldloom/seed_discovery/job_runner.py
+++ b/src/foldloom/seed_discovery/job_runner.py
@@ -29,6 +29,7 @@
     SubmitStatus,
 )
 from foldloom.seed_discovery.owners.open_job import OpenJob
+from foldloom.seed_discovery.scheduling.crashes import is_given_up
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
 
@@ -173,6 +174,8 @@
     async def _note_failed(self, end: RunEnd) -> JobResult | None:
         """Start a task again whose run ended without being done, or fail the job."""
         task = end.run_id.task
+        if is_given_up(end.crashes):
+            return Ok(JobEnd(JobState.FAILED, "a task crashes its endpoints"))
         attempts = self._attempts.setdefault(task, _Attempts())
         if end.cause in (EndCause.FAILED, EndCause.REFUSED):
             attempts.failures += 1
@@ -189,7 +192,8 @@
             failures_max=self._queue.attempts_max,
             next_run=attempts.attempt,
         )
-        return await self._submit(task.step, [RunOrder(task.step, task.position, attempts.attempt)])
+        order = RunOrder(task.step, task.position, attempts.attempt, crashes=end.crashes)
+        return await self._submit(task.step, [order])
 
     async def _submit(self, step: int, orders: list[RunOrder]) -> JobResult | None:
         reply = await self._client.submit(self._open, self._templates[step], orders)
--- /dev/null
+++ b/src/foldloom/seed_discovery/owners/crashed_endpoints.py
@@ -0,0 +1,75 @@
+# SPDX-License-Identifier: MIT
+"""What the crash of an endpoint means for the tasks that were on it.
+
+Owns nothing: the decisions are plain functions, and what they decide is carried out on the
+lifecycle of runs, which has the counts. A crash counts once it is certain, also if the leases there
+had lapsed in silence before; an endpoint that answers again as the same life has not crashed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from foldloom.logs import ENDPOINT_LOG
+from foldloom.seed_discovery.jobs.spec import TaskId
+from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
+from foldloom.seed_discovery.owners.messages import EndCause, SubmitRuns
+from foldloom.seed_discovery.scheduling.crashes import CrashCount, is_given_up
+from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
+from foldloom.seed_discovery.scheduling.runs import Run, RunState
+
+
+def may_have_crashed(run: Run, endpoint: str) -> bool:
+    """Return whether *run* may have crashed *endpoint*: it was there, or its order got no answer.
+
+    An order whose answer is still awaited found nobody listening, most likely.
+    """
+    return run.endpoint == endpoint and run.state in (RunState.RUNNING, RunState.STOPPING)
+
+
+def note_crash(lifecycle: RunLifecycle, candidate: ZoneEndpoint, now_ms: float) -> None:
+    """Count a crash of *candidate* for what was on it; end what is given up for it.
+
+    One that had said it would leave has crashed under nothing. The runs that are not given up end
+    once their leases have lapsed.
+    """
+    if candidate.has_crashed or not candidate.is_ready:
+        return
+    candidate.has_crashed = True
+    endpoint = candidate.record.endpoint
+    present = [lifecycle.get(task) for task in candidate.room.tasks]
+    runs = [run for run in present if run is not None and may_have_crashed(run, endpoint)]
+    tasks = [run.task for run in runs] + candidate.lapsed_tasks
+    candidate.lapsed_tasks = []
+    lifecycle.crashes.note_crash(tasks, bool(candidate.orphans), now_ms)
+    _log(endpoint, [(task, lifecycle.crashes.count_of(task)) for task in tasks])
+    for run in runs:
+        if is_given_up(lifecycle.crashes.count_of(run.task)):
+            lifecycle.finish(run, EndCause.LAPSED, "", now_ms)
+
+
+def give_up_crashing(lifecycle: RunLifecycle, message: SubmitRuns, now_ms: float) -> None:
+    """Learn of crashes from the box of a job; end what has crashed too many endpoints already."""
+    for order in message.orders:
+        task = TaskId(message.job_id, message.repeat, order.step, order.position)
+        lifecycle.crashes.learn(task, order.crashes, now_ms)
+        run = lifecycle.get(task)
+        if run is None or run.state is not RunState.QUEUED:
+            continue
+        if is_given_up(lifecycle.crashes.count_of(task)):
+            lifecycle.finish(run, EndCause.LAPSED, "", now_ms)
+
+
+def _log(endpoint: str, counts: Iterable[tuple[TaskId, CrashCount]]) -> None:
+    """Log that *endpoint* has crashed, a line for each task that was on it."""
+    for task, count in counts:
+        ENDPOINT_LOG.event(
+            "endpoint.crashed",
+            endpoint=endpoint,
+            job=task.job_id,
+            step=task.step,
+            position=task.position,
+            crashes=count.crashes,
+            alone=count.alone,
+            is_given_up=is_given_up(count),
+        )
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -94,6 +94,9 @@
     def note_silent(self, endpoint: str) -> None:
         """Note that *endpoint* does not answer."""
 
+    def note_crashed(self, endpoint: str) -> None:
+        """Note that nothing listens any more where *endpoint* did."""
+
     def note_life_over(self, endpoint: str, born_ms: int) -> None:
         """Note that the life of *endpoint* born at *born_ms* is over for certain."""
 
@@ -270,3 +273,5 @@
             )
         self._is_silent = True
         self._owner.note_silent(self.record.endpoint)
+        if reply.outcome is CallOutcome.NO_LISTENER and self.clock.is_known:
+            self._owner.note_crashed(self.record.endpoint)
--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: MIT
 """The runs that an owner knows, and every change of a run's state.
 
-Owns the table of runs, their tombstones, the list of started jobs and the room that runs take on
-endpoints. Relies on the
-queue of waiting runs, the endpoints' rooms and speeds, which it is given. A run is in one state:
+Owns the table of runs, their tombstones, the list of started jobs, the crashes of endpoints under
+tasks and the room that runs take on endpoints. Relies on the queue of waiting runs, the endpoints'
+rooms and speeds, which it is given. A run is in one state:
 
 | state | event | next state | what happens |
 |---|---|---|---|
@@ -30,9 +30,11 @@
 
 from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.owners.actions import Actions, NotifyAction, StartAction, StopAction
+from foldloom.seed_discovery.owners.crash_records import CrashRecords
 from foldloom.seed_discovery.owners.messages import EndCause, RunEnd
 from foldloom.seed_discovery.owners.started_jobs import StartedJobs
 from foldloom.seed_discovery.owners.tombstones import Tombstones
+from foldloom.seed_discovery.scheduling.crashes import is_given_up
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.estimates import Estimates
 from foldloom.seed_discovery.scheduling.runs import HolderId, Run, RunState
@@ -60,6 +62,7 @@
         self.speeds = EndpointSpeeds()
         self.tombstones = Tombstones()
         self.started = StartedJobs()
+        self.crashes = CrashRecords()
 
     @property
     def runs(self) -> list[Run]:
@@ -144,11 +147,16 @@
         if cause is EndCause.DONE and not was_stopping and ran_ms:
             self._learn(run, ran_ms)
         self.free_room(run)
-        if was_stopping and run.holders and cause is not EndCause.DONE:
+        if cause in (EndCause.DONE, EndCause.FAILED):
+            self.crashes.clear(run.task)
+        crashes = self.crashes.count_of(run.task)
+        starts_again = was_stopping and cause is not EndCause.DONE and not is_given_up(crashes)
+        if starts_again and run.holders:
             run.attempt += 1
             self.queue(run, now_ms)
             return
-        self.retire(run, RunEnd(run.run_id, cause, endpoint, ran_ms, checkpoint), now_ms)
+        end = RunEnd(run.run_id, cause, endpoint, ran_ms, checkpoint, crashes=crashes)
+        self.retire(run, end, now_ms)
 
     def retire(self, run: Run, end: RunEnd, now_ms: float) -> None:
         """Notify the boxes that want *run* of its *end*, and leave a tombstone."""
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -13,6 +13,7 @@
 from foldloom.peers.messages import register
 from foldloom.seed_discovery.fleet.messages import OwnerRecord
 from foldloom.seed_discovery.jobs.spec import Demand, Placement, RunId
+from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.sharing import GroupId, GroupSummary
 
 
@@ -28,6 +29,7 @@
         delivery: Counts the box's deliveries of runs to owners: the same in each retransmission
             of a message, another one when the run is sent again for another reason; 0 if it is
             not counted.
+        crashes: How many endpoints have crashed under the task, as the box knows.
     """
 
     step: int
@@ -36,6 +38,7 @@
     is_resumed: bool = False
     is_moved: bool = False
     delivery: int = 0
+    crashes: CrashCount = CrashCount()
 
 
 class Objective(NamedTuple):
@@ -164,6 +167,7 @@
         moved_to: With ``MOVED``, the zone.
         has_started: Whether anything of the job may ever have been started in this term.
         delivery: The delivery of the run that this is about, 0 if it is not counted.
+        crashes: How many endpoints have crashed under the task, as the owner knows.
     """
 
     run_id: RunId
@@ -174,6 +178,7 @@
     moved_to: str = ""
     has_started: bool = True
     delivery: int = 0
+    crashes: CrashCount = CrashCount()
 
 
 class RunsEnded(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -85,7 +85,7 @@
     candidate = candidates.get(endpoint)
     if candidate is None:
         return
-    if outcome is CallOutcome.OTHER_LIFE:
+    if outcome in (CallOutcome.OTHER_LIFE, CallOutcome.NO_LISTENER):
         candidate.is_trusted = False
         return
     pause = UNHEALTHY_PAUSE_MS if outcome is CallOutcome.REFUSED else NO_ROOM_PAUSE_MS
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -15,6 +15,11 @@
 from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.actions import Actions, StealAction, StopAction
 from foldloom.seed_discovery.owners.admission import Admission
+from foldloom.seed_discovery.owners.crashed_endpoints import (
+    give_up_crashing,
+    may_have_crashed,
+    note_crash,
+)
 from foldloom.seed_discovery.owners.deliveries import Deliveries, newest_delivery
 from foldloom.seed_discovery.owners.late_starts import LateStarts
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
@@ -92,6 +97,7 @@
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         self._deliveries.deliver(holder, message, now_ms)
+        give_up_crashing(self._lifecycle, message, now_ms)
         reply = self._admission.judge(message, now_ms)
         if reply.status is SubmitStatus.REFUSED:
             self.cancel(holder, message.job_id, now_ms, newest_delivery(message))
@@ -179,6 +185,7 @@
         candidate = self._candidates.get(endpoint)
         if candidate is None:
             return
+        note_crash(self._lifecycle, candidate, now_ms)
         candidate.begin_life()
         self._late_starts.end_life(endpoint)
         for stop in self._late_starts.stops_due((endpoint,), now_ms, now_ms):
@@ -199,6 +206,12 @@
         if candidate is not None:
             candidate.is_silent = True
 
+    def note_crashed(self, endpoint: str, now_ms: float) -> None:
+        """Note that the present life of *endpoint* is certainly over."""
+        candidate = self._candidates.get(endpoint)
+        if candidate is not None:
+            note_crash(self._lifecycle, candidate, now_ms)
+
     def note_lapsed(self, endpoint: str, now_ms: float) -> None:
         """Note that every lease on *endpoint* has ended for certain."""
         candidate = self._candidates.get(endpoint)
@@ -211,6 +224,8 @@
             if run is None or run.endpoint != endpoint:
                 candidate.room.release(task)
                 continue
+            if not candidate.has_crashed and may_have_crashed(run, endpoint):
+                candidate.lapsed_tasks.append(task)
             self._lifecycle.finish(run, EndCause.LAPSED, "", now_ms)
 
     def has_overdue_stop(self, endpoint: str, before_ms: float) -> bool:
@@ -233,6 +248,7 @@
         self._reported_ms[report.endpoint] = report.asked_ms
         candidate.is_trusted = candidate.is_described(report.born_ms)
         candidate.is_silent = False
+        candidate.note_alive()
 
     def note_start(self, run_id: RunId, endpoint: str, outcome: CallOutcome, now_ms: float) -> None:
         """Note the answer to an order to start."""
@@ -267,11 +283,17 @@
         self._deliveries.expire_cancels(now_ms)
         self._lifecycle.tombstones.expire(now_ms)
         self._lifecycle.started.expire(now_ms)
+        self._lifecycle.crashes.expire(now_ms)
 
     def place(self, now_ms: float) -> None:
         """Start what there is room for, and steal what waits elsewhere for the rest."""
         placing = place(
-            self.waiting, self._stealing.remote, self._candidates, self._lifecycle.speeds, now_ms
+            self.waiting,
+            self._stealing.remote,
+            self._candidates,
+            self._lifecycle.speeds,
+            now_ms,
+            self._lifecycle.crashes.isolations,
         )
         for run, endpoint in placing.placed:
             self._lifecycle.start(run, endpoint, now_ms)
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -237,9 +237,16 @@
         """Note that *endpoint* does not answer."""
         self._state.note_silent(endpoint)
 
+    def note_crashed(self, endpoint: str) -> None:
+        """Note that nothing listens any more where *endpoint* did."""
+        if not self._is_closed:
+            self._state.note_crashed(endpoint, monotonic_ms())
+            self._act()
+
     def note_life_over(self, endpoint: str, born_ms: int) -> None:
         """Note that the life of *endpoint* born at *born_ms* is over for certain."""
         ENDPOINT_LOG.event("endpoint.life_over", endpoint=endpoint, born_ms=born_ms)
+        self.note_crashed(endpoint)
         self._context.catalog.end_life(endpoint, born_ms, monotonic_ms())
 
     def note_next_life(self, endpoint: str, born_ms: int) -> None:
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -28,6 +28,9 @@
 class ZoneEndpoint:
     """One endpoint.
 
+    ``has_crashed``: whether its present life is known to be over; ``lapsed_tasks``: what was there
+    when its leases lapsed in silence, after which it may turn out to have crashed.
+
     Args:
         record: What it says of itself.
     """
@@ -39,6 +42,13 @@
         self.is_silent = False
         self.blocked_until_ms = 0.0
         self.orphans: dict[TaskId, OrphanedRun] = {}
+        self.has_crashed = False
+        self.lapsed_tasks: list[TaskId] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it has not said that it leaves."""
+        return self.record.state is EndpointState.READY
 
     @property
     def is_idle(self) -> bool:
@@ -56,6 +66,12 @@
         self.is_silent = False
         self.blocked_until_ms = 0.0
         self.orphans.clear()
+        self.note_alive()
+
+    def note_alive(self) -> None:
+        """Note that its present life has answered, so that nothing has crashed it before."""
+        self.has_crashed = False
+        self.lapsed_tasks = []
 
     def is_described(self, born_ms: int) -> bool:
         """Return whether the record is of the life born at *born_ms*, as far as either says.
@@ -71,7 +87,7 @@
         """
         return (
             self.is_trusted
-            and self.record.state is EndpointState.READY
+            and self.is_ready
             and not self.orphans
             and now_ms >= self.blocked_until_ms
         )
--- a/src/foldloom/seed_discovery/scheduling/placing.py
+++ b/src/foldloom/seed_discovery/scheduling/placing.py
@@ -10,10 +10,11 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from foldloom.seed_discovery.jobs.spec import Demand, Placement
+from foldloom.seed_discovery.jobs.spec import Demand, Placement, TaskId
+from foldloom.seed_discovery.scheduling.crashes import NO_ISOLATIONS, Isolation
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.groups import Group
 from foldloom.seed_discovery.scheduling.ranking import Rank, Tier, rank, speed_min
@@ -63,13 +64,36 @@
 class _Kind(NamedTuple):
     """Runs that fit where any one of them fits.
 
-    ``speed_min`` is how fast an endpoint must be for the job not to fall into a lower tier.
+    ``speed_min`` is how fast an endpoint must be for the job not to fall into a lower tier;
+    ``isolation`` how the run is kept apart.
     """
 
     service: str
     demand: Demand
     placement: Placement
     speed_min: float = 0.0
+    isolation: Isolation = Isolation.NONE
+
+
+class _Places(NamedTuple):
+    """Where runs may go now.
+
+    Args:
+        endpoints: Those that may be given work.
+        speeds: How fast they are.
+        isolations: How tasks under which endpoints have crashed are kept apart from others.
+    """
+
+    endpoints: list[ZoneEndpoint]
+    speeds: EndpointSpeeds
+    isolations: Mapping[TaskId, Isolation]
+
+    def isolation_on(self, candidate: ZoneEndpoint) -> Isolation:
+        """Return how what runs on an endpoint is kept apart."""
+        if not self.isolations:
+            return Isolation.NONE
+        kept = [self.isolations.get(task, Isolation.NONE) for task in candidate.room.tasks]
+        return max(kept, default=Isolation.NONE)
 
 
 class _Next(NamedTuple):
@@ -86,29 +110,30 @@
     candidates: Mapping[str, ZoneEndpoint],
     speeds: EndpointSpeeds,
     now_ms: float,
+    isolations: Mapping[TaskId, Isolation] = NO_ISOLATIONS,
 ) -> Placing:
     """Return who starts where now, and charge the room; the runs are taken out of the queue."""
     result = Placing([], [])
     open_endpoints = [one for one in candidates.values() if one.is_open(now_ms)]
     if not open_endpoints:
         return result
+    places = _Places(open_endpoints, speeds, isolations)
     own, others = waiting.groups, remote.stealable(now_ms)
     order = [_Next(rank(group, now_ms), False, n) for n, group in enumerate(own)]
     order += [_Next(group.rank, True, n) for n, group in enumerate(others)]
     full: set[_Kind] = set()
     for _, is_remote, number in sorted(order):
         if is_remote:
-            _steal(others[number], open_endpoints, speeds, full, now_ms, result.stolen)
+            _steal(others[number], places, full, now_ms, result.stolen)
         else:
-            _place_own(own[number], waiting, open_endpoints, speeds, full, now_ms, result.placed)
+            _place_own(own[number], waiting, places, full, now_ms, result.placed)
     return result
 
 
 def _place_own(
     group: Group,
     waiting: WaitingRuns,
-    open_endpoints: list[ZoneEndpoint],
-    speeds: EndpointSpeeds,
+    places: _Places,
     full: set[_Kind],
     now_ms: float,
     placed: list[Placed],
@@ -118,7 +143,11 @@
     if kind in full:
         return
     for run in list(group.waiting.values()):
-        chosen = choose_endpoint(kind, group_of(run.task), open_endpoints, speeds)
+        isolation = places.isolations.get(run.task, Isolation.NONE)
+        chosen = choose_endpoint(kind._replace(isolation=isolation), group_of(run.task), places)
+        if chosen is None and isolation is Isolation.REQUIRED:
+            # The others of its step may do with less than an idle endpoint.
+            continue
         if chosen is None:
             if not spec.placement.per_endpoint_max:
                 full.add(kind)
@@ -130,8 +159,7 @@
 
 def _steal(
     group: RemoteGroup,
-    open_endpoints: list[ZoneEndpoint],
-    speeds: EndpointSpeeds,
+    places: _Places,
     full: set[_Kind],
     now_ms: float,
     stolen: list[Stolen],
@@ -143,7 +171,7 @@
         return
     reservations: list[Reservation] = []
     while group.left > 0:
-        chosen = choose_endpoint(kind, summary.group, open_endpoints, speeds)
+        chosen = choose_endpoint(kind, summary.group, places)
         if chosen is None:
             full.add(kind)
             break
@@ -155,18 +183,24 @@
         stolen.append(Stolen(group.zone, summary.group, reservations))
 
 
-def choose_endpoint(
-    kind: _Kind, group: GroupId, open_endpoints: Iterable[ZoneEndpoint], speeds: EndpointSpeeds
-) -> ZoneEndpoint | None:
-    """Return the best endpoint with room, if any: near the data, fast, tightly filled."""
-    fitting = [one for one in open_endpoints if _may_run(kind, group, one, speeds)]
+def choose_endpoint(kind: _Kind, group: GroupId, places: _Places) -> ZoneEndpoint | None:
+    """Return the best endpoint with room, if any: near the data, fast, tightly filled.
+
+    A task under which an endpoint has crashed goes to an idle one before that, and others go
+    elsewhere than beside it.
+    """
+    fitting = [one for one in places.endpoints if _may_run(kind, group, one, places)]
     if not fitting:
         return None
-    return max(fitting, key=lambda one: _preference(kind, one, speeds))
+    return max(fitting, key=lambda one: _preference(kind, one, places))
 
 
-def _may_run(kind: _Kind, group: GroupId, candidate: ZoneEndpoint, speeds: EndpointSpeeds) -> bool:
-    record = candidate.record
+def _may_run(kind: _Kind, group: GroupId, candidate: ZoneEndpoint, places: _Places) -> bool:
+    record, speeds = candidate.record, places.speeds
+    if kind.isolation is Isolation.REQUIRED and not candidate.is_idle:
+        return False
+    if places.isolation_on(candidate) is Isolation.REQUIRED:
+        return False
     if record.service != kind.service or not candidate.takes(kind.demand):
         return False
     if speeds.speed_of(record.endpoint) < kind.speed_min:
@@ -180,10 +214,13 @@
 
 
 def _preference(
-    kind: _Kind, candidate: ZoneEndpoint, speeds: EndpointSpeeds
-) -> tuple[bool, float, int, str]:
+    kind: _Kind, candidate: ZoneEndpoint, places: _Places
+) -> tuple[bool, bool, float, int, str]:
+    is_isolated = kind.isolation is not Isolation.NONE
+    is_apart = candidate.is_idle if is_isolated else not places.isolation_on(candidate)
     rack = kind.placement.rack
     is_near = not rack or rack in candidate.record.labels
     left = candidate.room.free.cpu_milli - kind.demand.cpu_milli
     endpoint = candidate.record.endpoint
-    return (is_near, round(speeds.speed_of(endpoint), 1), -left, endpoint)
+    speed = round(places.speeds.speed_of(endpoint), 1)
+    return (is_apart, is_near, speed, -left, endpoint)
--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -182,6 +182,9 @@
         """Crash under *task*; another life begins under the same id after ``BACK_AFTER_S``."""
         if self._crashing is None:
             self._sightings.crashes[task] += 1
+            # Before anything else: a process that crashes answers nothing that waits.
+            for transport in self._open:
+                transport.abort()
             self._crashing = asyncio.create_task(self._crash())
 
     async def _crash(self) -> None:
--- a/tests/test_crashing_task.py
+++ b/tests/test_crashing_task.py
@@ -5,6 +5,10 @@
 after which its caller sends it again. Work is placed on one endpoint until it is full, so the
 neighbours of the task crashed with it, were placed anew beside it, and crashed again: for 3 s next
 to no job of other callers was completed, and some were answered 504.
+
+Cause: nothing counted crashes. A run that was lost with its endpoint was started again whatever had
+become of it, with no bound but the deadline, and beside whatever ran elsewhere. The logs had
+``run.retried cause=lapsed failures=0`` once for each endpoint; ``endpoint.crashed`` counts now.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/test_owners_crashed_endpoints.py
@@ -0,0 +1,234 @@
+# SPDX-License-Identifier: MIT
+"""Endpoints that crash under tasks: what counts as a crash, who starts where, who is given up."""
+
+from __future__ import annotations
+
+from foldloom.seed_discovery.endpoints.calls import (
+    ActiveRun,
+    CallOutcome,
+    EndedRun,
+    EndKind,
+    EndpointReport,
+)
+from foldloom.seed_discovery.endpoints.records import EndpointState
+from foldloom.seed_discovery.jobs.spec import Demand, RunId, TaskId
+from foldloom.seed_discovery.owners.crash_records import CRASHES_KEPT_MS, CrashRecords
+from foldloom.seed_discovery.owners.messages import EndCause, RunEnd
+from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.scheduling.crashes import CrashCount, Isolation
+from foldloom.seed_discovery.scheduling.runs import HolderId
+from test_owners_state import endpoint, ends_of, owner_with, submission
+
+_E1 = HolderId("e1", 1)
+_SMALL = Demand(2_000, 64, 0)
+_JOB, _OTHER = "0" * 16, "1" * 16
+_TASK = TaskId(_JOB, 0, 0, 0)
+
+
+def _hand_in(state: OwnerState, now_ms: float, job_id: str = _JOB, tasks: int = 1) -> list[str]:
+    """Hand a job of small tasks in and have it started; return where its tasks are."""
+    state.submit(_E1, submission(tasks, job_id=job_id, demand=_SMALL), now_ms)
+    return _start_waiting(state, now_ms)
+
+
+def _start_waiting(state: OwnerState, now_ms: float) -> list[str]:
+    """Have what waits started, and return where."""
+    state.place(now_ms)
+    starts = state.actions.pop_starts()
+    for start in starts:
+        state.note_start(start.run_id, start.endpoint, CallOutcome.DONE, now_ms)
+    return [start.endpoint for start in starts]
+
+
+def _deliver_again(state: OwnerState, end: RunEnd, now_ms: float) -> None:
+    """Deliver the next attempt of a run that has ended, as its entry box does."""
+    message = submission(job_id=end.run_id.task.job_id, demand=_SMALL)
+    order = message.orders[0]._replace(
+        position=end.run_id.task.position,
+        attempt=end.run_id.attempt + 1,
+        crashes=end.crashes,
+    )
+    state.submit(_E1, message._replace(orders=[order]), now_ms)
+
+
+def _crash(state: OwnerState, name: str, now_ms: float) -> list[RunEnd]:
+    """Have an endpoint crash and its leases lapse; return the ends, in the order of tasks."""
+    state.note_silent(name)
+    state.note_crashed(name, now_ms)
+    state.note_lapsed(name, now_ms + 650.0)
+    return sorted((end for _, end in ends_of(state)), key=lambda end: end.run_id)
+
+
+class TestWhatCounts:
+    """A crash is certain."""
+
+    def test_a_silent_lapse_does_not(self) -> None:
+        """An endpoint that was cut off and answers again has not crashed."""
+        state = owner_with(endpoint("w1"))
+        _hand_in(state, 10.0)
+        state.note_silent("w1")
+        state.note_lapsed("w1", 700.0)
+        assert [end.crashes for _, end in ends_of(state)] == [CrashCount()]
+        state.report(EndpointReport("w1", (), (), 800.0, 1), 801.0)
+        state.begin_life("w1", 5_000.0)
+        _deliver_again(state, RunEnd(RunId(_TASK, 1), EndCause.LAPSED), 5_001.0)
+        assert not ends_of(state)
+
+    def test_a_lapse_before_the_next_life_does(self) -> None:
+        """A machine that lost power is silent; its next life shows that it had crashed."""
+        state = owner_with(endpoint("w1"), endpoint("w2"))
+        _hand_in(state, 10.0)
+        state.note_silent("w2")
+        state.note_lapsed("w2", 700.0)
+        ((_, end),) = ends_of(state)
+        state.begin_life("w2", 3_000.0)
+        _deliver_again(state, end, 3_001.0)
+        assert _start_waiting(state, 3_001.0) == ["w1"]
+        assert [end.crashes for end in _crash(state, "w1", 3_100.0)] == [CrashCount(2, 2)]
+
+    def test_once_a_life(self) -> None:
+        """A port that refuses again and again, and then the next life, are one crash."""
+        state = owner_with(endpoint("w1"))
+        _hand_in(state, 10.0)
+        for now_ms in (20.0, 70.0, 170.0):
+            state.note_crashed("w1", now_ms)
+        state.begin_life("w1", 200.0)
+        state.note_lapsed("w1", 700.0)
+        assert [end.crashes for _, end in ends_of(state)] == [CrashCount(1, 1)]
+
+    def test_an_endpoint_that_leaves(self) -> None:
+        """It ends, as it has said: no task did that."""
+        state = owner_with(endpoint("w1"))
+        _hand_in(state, 10.0)
+        state.follow_endpoint(endpoint("w1", state=EndpointState.DRAINING))
+        assert [end.crashes for end in _crash(state, "w1", 20.0)] == [CrashCount()]
+
+    def test_a_start_that_found_nobody(self) -> None:
+        """The run was never there: it starts elsewhere at once, and nothing is counted."""
+        state = owner_with(endpoint("w1"), endpoint("w2"))
+        state.submit(_E1, submission(), 10.0)
+        state.place(10.0)
+        (start,) = state.actions.pop_starts()
+        state.note_start(start.run_id, start.endpoint, CallOutcome.NO_LISTENER, 11.0)
+        state.note_crashed(start.endpoint, 12.0)
+        assert _start_waiting(state, 12.0) == [{"w1": "w2", "w2": "w1"}[start.endpoint]]
+        assert not state.actions.pop_stops()
+        assert [end.crashes for end in _crash(state, "w1", 20.0)] in ([CrashCount(1, 1)], [])
+
+    def test_a_start_without_an_answer(self) -> None:
+        """The endpoint crashed before it answered: the run may have done it."""
+        state = owner_with(endpoint("w1"))
+        state.submit(_E1, submission(), 10.0)
+        state.place(10.0)
+        (start,) = state.actions.pop_starts()
+        state.note_start(start.run_id, "w1", CallOutcome.UNKNOWN, 11.0)
+        state.note_crashed("w1", 60.0)
+        state.note_lapsed("w1", 700.0)
+        state.begin_life("w1", 3_000.0)
+        state.report(EndpointReport("w1", (), (), 3_001.0), 3_002.0)
+        assert _start_waiting(state, 3_002.0) == ["w1"]
+        assert [end.crashes for end in _crash(state, "w1", 3_100.0)] == [CrashCount(2, 2)]
+
+
+class TestNeighbours:
+    """What ran beside the task that did it."""
+
+    def test_each_starts_by_itself(self) -> None:
+        """Three tasks of one endpoint go to three others, and new work elsewhere."""
+        state = owner_with(*(endpoint(f"w{n}") for n in range(1, 6)))
+        assert set(_hand_in(state, 10.0, tasks=3)) == {"w5"}
+        for end in _crash(state, "w5", 20.0):
+            assert end.crashes == CrashCount(1, 0)
+            _deliver_again(state, end, 700.0)
+        placed = _start_waiting(state, 700.0)
+        assert len(set(placed)) == 3
+        (fresh,) = _hand_in(state, 701.0, job_id=_OTHER)
+        assert fresh not in placed
+
+    def test_beside_others_where_none_is_idle(self) -> None:
+        """After one crash it does not wait for an idle endpoint."""
+        state = owner_with(endpoint("w1"), endpoint("w2"))
+        _hand_in(state, 10.0)
+        (end,) = _crash(state, "w2", 20.0)
+        assert _hand_in(state, 30.0, job_id=_OTHER) == ["w1"]
+        _deliver_again(state, end, 700.0)
+        assert _start_waiting(state, 700.0) == ["w1"]
+
+    def test_after_two_crashes_it_waits(self) -> None:
+        """It starts on an idle endpoint, and nothing starts beside it."""
+        state = owner_with(*(endpoint(f"w{n}") for n in (1, 2, 3)))
+        for name, now_ms in (("w3", 10.0), ("w2", 1_000.0)):
+            message = submission(2, job_id=_JOB, demand=_SMALL)
+            orders = [order._replace(attempt=int(now_ms)) for order in message.orders]
+            state.submit(_E1, message._replace(orders=orders), now_ms)
+            # Both on one: the other endpoints are busy with something else.
+            for other in set(state.candidates) - {name}:
+                state.distrust(other)
+            assert _start_waiting(state, now_ms) == [name, name]
+            for other in set(state.candidates) - {"w2", "w3"}:
+                state.report(EndpointReport(other, (), (), now_ms), now_ms)
+            ends = _crash(state, name, now_ms + 10.0)
+            if name == "w3":
+                state.report(EndpointReport("w2", (), (), 900.0), 901.0)
+        assert [end.crashes for end in ends] == [CrashCount(2, 0)] * 2
+        _hand_in(state, 1_900.0, job_id=_OTHER)
+        for end in ends:
+            _deliver_again(state, end, 2_000.0)
+        assert _start_waiting(state, 2_000.0) == []
+        ended = EndedRun(1, RunId(TaskId(_OTHER, 0, 0, 0), 1), EndKind.DONE)
+        state.report(EndpointReport("w1", (), (ended,), 2_100.0), 2_101.0)
+        assert _start_waiting(state, 2_101.0) == ["w1"]
+        assert _hand_in(state, 2_102.0, job_id="2" * 16) == []
+
+    def test_it_ends_once(self) -> None:
+        """Then it is like any other again, also if it is handed in anew."""
+        records = CrashRecords()
+        records.note_crash([_TASK], has_others=True, now_ms=1.0)
+        assert records.isolations == {_TASK: Isolation.PREFERRED}
+        records.clear(_TASK)
+        assert records.count_of(_TASK) == CrashCount()
+        assert not records.isolations
+
+
+class TestGivenUp:
+    """The task that did it."""
+
+    def test_at_once(self) -> None:
+        """Alone on a second endpoint that crashes, it ends before the leases there lapse."""
+        state = owner_with(endpoint("w1"), endpoint("w2"))
+        _hand_in(state, 10.0, tasks=2)
+        first = _crash(state, "w2", 20.0)
+        _deliver_again(state, first[0], 700.0)
+        assert _start_waiting(state, 700.0) == ["w1"]
+        state.note_silent("w1")
+        state.note_crashed("w1", 750.0)
+        assert [end.crashes for _, end in ends_of(state)] == [CrashCount(2, 1)]
+
+    def test_handed_in_again(self) -> None:
+        """It does not start; its box is told the count, by which the job fails."""
+        state = owner_with(endpoint("w1"))
+        order = submission().orders[0]._replace(crashes=CrashCount(2, 1))
+        state.submit(_E1, submission(orders=[order]), 10.0)
+        assert _start_waiting(state, 10.0) == []
+        assert [end.crashes for _, end in ends_of(state)] == [CrashCount(2, 1)]
+        # Now the owner knows, whatever another box says.
+        state.submit(_E1, submission(), 2_000.0)
+        assert _start_waiting(state, 2_000.0) == []
+        assert [end.crashes for _, end in ends_of(state)] == [CrashCount(2, 1)]
+
+    def test_it_is_remembered_for_a_while(self) -> None:
+        """Its caller may send it again for some seconds; then nothing is kept of it."""
+        records = CrashRecords()
+        records.note_crash([_TASK], has_others=False, now_ms=1.0)
+        records.expire(CRASHES_KEPT_MS)
+        assert records.count_of(_TASK) == CrashCount(1, 1)
+        records.expire(CRASHES_KEPT_MS + 1.0)
+        assert records.count_of(_TASK) == CrashCount()
+
+    def test_a_run_of_another_owner(self) -> None:
+        """Beside a run that no box has delivered here, nobody was alone."""
+        state = owner_with(endpoint("w1"))
+        _hand_in(state, 10.0)
+        orphan = ActiveRun(RunId(TaskId(_OTHER, 0, 0, 0), 1))
+        state.report(EndpointReport("w1", (ActiveRun(RunId(_TASK, 1)), orphan), (), 20.0), 21.0)
+        assert [end.crashes for end in _crash(state, "w1", 30.0)] == [CrashCount(1, 0)]
