Own interface: a task under which two endpoints have died is given up

Change: deaths are counted by task; the second one ends the job with the endpoint's loss (502, may have run). Attempts that certainly did not run do not count and may always be made again.

Left: its neighbours are not isolated; one that shares two endpoints with it fails like it.

--- a/src/foldloom/static_peers/entry/run.py
+++ b/src/foldloom/static_peers/entry/run.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -23,7 +23,11 @@
 from foldloom.static_peers.endpoints.adapter import EndpointAdapter, TaskAnswer, TaskCall
 from foldloom.static_peers.entry.requests import JobRequest
 from foldloom.static_peers.placement.messages import SlotRefusal, SlotUse
-from foldloom.static_peers.placement.retries import RetryBudget, may_retry
+from foldloom.static_peers.placement.retries import (
+    RetryBudget,
+    is_endpoint_death,
+    may_retry,
+)
 from foldloom.static_peers.placement.slots import Slot, SlotSource, SlotWaiter
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
@@ -94,6 +98,7 @@
         self._left = len(request.payloads)
         self._events: asyncio.Queue[Any] = asyncio.Queue()
         self._attempts: dict[asyncio.Task[Result[TaskAnswer, Problem]], tuple[int, str]] = {}
+        self._deaths: Counter[int] = Counter()
         self._maybe_ran = 0
         self._longest_ms = 0.0
 
@@ -238,7 +243,9 @@
             # An attempt gets all the time that the job has left. On a busy box its timer may fire
             # before the job's own, and the caller was answered 502 in place of 504.
             return _DEADLINE
-        if not may_retry(problem, self._service, self._request.repeatable):
+        self._deaths[end.task_index] += is_endpoint_death(problem)
+        deaths = self._deaths[end.task_index]
+        if not may_retry(problem, self._service, self._request.repeatable, deaths):
             return problem
         if not self._context.budget.spend():
             return problem._replace(detail=f"{problem.detail}; the retry budget is used up")
--- a/src/foldloom/static_peers/placement/retries.py
+++ b/src/foldloom/static_peers/placement/retries.py
@@ -14,6 +14,8 @@
 # Retries that can be saved up. Not measured: chosen to bound a storm after a calm time.
 _TOKENS_MAX = 100.0
 _ENDPOINT_DEATHS = ("worker-lost",)
+# Endpoints that may die under a task before it is given up: it may be what kills them.
+ENDPOINT_DEATHS_MAX = 2
 
 
 class RetryBudget:
@@ -44,14 +46,20 @@
         return True
 
 
-def may_retry(problem: Problem, service: Service, is_repeatable: bool) -> bool:
+def is_endpoint_death(problem: Problem) -> bool:
+    """Return whether an attempt ended so because its endpoint died under it."""
+    return problem.reason in _ENDPOINT_DEATHS
+
+
+def may_retry(problem: Problem, service: Service, is_repeatable: bool, deaths: int = 1) -> bool:
     """Return whether a task may be attempted again after *problem*.
 
     An attempt that certainly did not run may always be. One that may have run may be only
-    after its endpoint died, only if the service says so and the request is repeatable.
+    after its endpoint died, only if the service says so and the request is repeatable, and not
+    once *deaths* endpoints have died under the task.
     """
     if problem.run is Run.NOT_RUN:
         return True
     if service["restart"] != RESTART_AFTER_ENDPOINT_DEATH:
         return False
-    return is_repeatable and problem.reason in _ENDPOINT_DEATHS
+    return is_repeatable and is_endpoint_death(problem) and deaths < ENDPOINT_DEATHS_MAX
--- a/tests/test_entry_run.py
+++ b/tests/test_entry_run.py
@@ -60,31 +60,60 @@
         """Do nothing."""
 
 
+class _DyingEndpoint(_Adapter):
+    """Endpoints that die under whatever they are given."""
+
+    def __init__(self) -> None:
+        self.starts = 0
+
+    async def start_task(
+        self, _url: str, _job: str, _index: int, _call: Any, _left_ms: float
+    ) -> Any:
+        """Return that the connection broke."""
+        self.starts += 1
+        return Error(may_have_run("worker-lost", "ServerDisconnectedError"))
+
+
+def _execute(adapter: Any, time_ms: float, restart: str = "never", repeatable: bool = False) -> Any:
+    """Return how a job of one task ends on an endpoint that is called by *adapter*."""
+
+    async def play() -> Any:
+        service = {"workers": ["*"], "concurrency_max": 0, "restart": restart}
+        endpoints = {"w1": {"endpoint": "http://w1", "state": "active"}}
+        config: Any = SimpleNamespace(services={"svc": service}, endpoints=endpoints)
+        context = RunContext(
+            attempt_prefix="b1-1",
+            attempt_numbers=itertools.count(1),
+            adapter=adapter,
+            slots=_Slots(),
+            budget=RetryBudget(0.1),
+            metrics=Metrics(),
+            config=lambda: config,
+            leaving=frozenset,
+        )
+        request = JobRequest("svc", "c", repeatable, int(time_ms), [msgspec.Raw(b"1")], "")
+        return await JobRun(context, "job", request, monotonic_ms() + time_ms).execute()
+
+    return asyncio.run(play())
+
+
 class TestDeadline:
     """A job's time and that of its attempts end at one moment, in either order."""
 
     def test_an_attempt_notices_it_first(self) -> None:
         """The job has missed its deadline: 504, whichever timer fires first on a busy box."""
-
-        async def play() -> Any:
-            adapter: Any = _Adapter()
-            service = {"workers": ["*"], "concurrency_max": 0, "restart": "never"}
-            endpoints = {"w1": {"endpoint": "http://w1", "state": "active"}}
-            config: Any = SimpleNamespace(services={"svc": service}, endpoints=endpoints)
-            context = RunContext(
-                attempt_prefix="b1-1",
-                attempt_numbers=itertools.count(1),
-                adapter=adapter,
-                slots=_Slots(),
-                budget=RetryBudget(0.1),
-                metrics=Metrics(),
-                config=lambda: config,
-                leaving=frozenset,
-            )
-            request = JobRequest("svc", "c", False, int(_TIME_MS), [msgspec.Raw(b"1")], "")
-            return await JobRun(context, "job", request, monotonic_ms() + _TIME_MS).execute()
-
-        result = asyncio.run(play())
+        result = _execute(_Adapter(), _TIME_MS)
         assert result.is_error()
         problem = result.error
         assert (problem.status, problem.run, problem.reason) == (504, Run.MAY_HAVE_RUN, "deadline")
+
+
+class TestEndpointDeaths:
+    """A task under which endpoints die, of a service that starts such tasks again."""
+
+    def test_it_is_given_up(self) -> None:
+        """Its job fails after two endpoints, long before its deadline and its retry budget."""
+        adapter = _DyingEndpoint()
+        result = _execute(adapter, 60_000.0, "after-worker-death", repeatable=True)
+        assert result.error.reason == "worker-lost"
+        assert adapter.starts == 2
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -388,6 +388,13 @@
         service = Service(workers=["*"], concurrency_max=0, restart=restart)
         assert may_retry(problem, service, repeatable) is expected
 
+    @pytest.mark.parametrize(("deaths", "expected"), [(1, True), (2, False), (3, False)])
+    def test_a_task_that_kills_its_endpoints(self, deaths: int, expected: bool) -> None:
+        """After two endpoints have died under it, it is given up."""
+        service = Service(workers=["*"], concurrency_max=0, restart="after-worker-death")
+        assert may_retry(may_have_run("worker-lost"), service, True, deaths) is expected
+        assert may_retry(not_run("worker-refused"), service, True, deaths)
+
     def test_budget_is_a_share_of_starts(self) -> None:
         """After the first few, retries are a share of the starts."""
         budget = RetryBudget(0.1)
