A reload that comes while a program starts does not end it

What operators would see: a SIGHUP in about the first second of an entry box or a controller ended it, as the default action of the signal does, until its handler was installed.

--- /dev/null
+++ b/tests/test_platform_signals.py
@@ -0,0 +1,51 @@
+# SPDX-License-Identifier: MIT
+"""Signals that reach a program of the platform while it starts."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from platform_system import PlatformSystem, play
+
+_STARTS_WITHIN_S = 20.0
+_HUP = 1 << (signal.SIGHUP - 1)
+
+
+def _mask(pid: int, field: str) -> int:
+    """Return a mask of signals of a process, as the kernel shows it."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    (mask,) = (line.split()[1] for line in lines if line.startswith(field))
+    return int(mask, 16)
+
+
+class TestReloadWhileStarting:
+    """SIGHUP before the program has installed its handler, which it does after some time."""
+
+    @pytest.mark.parametrize("name", ["e0", "c0"])
+    def test_it_goes_on(self, tmp_path: Path, name: str) -> None:
+        """From the program's first lines on, a reload ends nothing, and the last seeds hold."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            await system.kill(name)
+            await system.start(name)
+            process = system.processes[name]
+            until_s = time.monotonic() + _STARTS_WITHIN_S
+            while not _mask(process.pid, "SigIgn:") & _HUP:
+                assert not _mask(process.pid, "SigCgt:") & _HUP, "the handler came first"
+                assert time.monotonic() < until_s
+                await asyncio.sleep(0.001)
+            while not await system.is_up(name):
+                assert time.monotonic() < until_s
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.005)
+            assert process.returncode is None
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.5)
+            assert system.events(name, "settings.reloaded")
+
+        play(scenario, tmp_path)
