While every endpoint of a zone is merely overdue, jobs wait for the next answer

What callers saw: while the answer of every endpoint of a zone was overdue by 80 ms, most often because the owner itself had been late to look, jobs were refused and sent away for 2 s.

Cause: a zone with no endpoint in use was taken for one with no room at all, whose wait is the longest.

Change: where nothing is in use but an endpoint is only overdue, a job is taken. It starts with the next answer; where none comes it ends as any job that can't be done in time any more. Endpoints that left a poll unanswered, or have crashed, are not waited for: the job is refused at once as before.

--- a/src/foldloom/seed_discovery/owners/admission.py
+++ b/src/foldloom/seed_discovery/owners/admission.py
@@ -88,6 +88,9 @@
         return ZoneRoom(
             total_milli=sum(load.total_milli for load in loads),
             free_milli=sum(load.free_milli for load in loads),
+            overdue_milli=sum(
+                one.room.capacity.cpu_milli for one in self._candidates.values() if one.is_overdue
+            ),
         )
 
 
--- a/src/foldloom/seed_discovery/scheduling/admission.py
+++ b/src/foldloom/seed_discovery/scheduling/admission.py
@@ -33,10 +33,13 @@
     Args:
         total_milli: All endpoints in use, here and where runs could be moved to.
         free_milli: What nothing takes of it.
+        overdue_milli: Endpoints whose answer is overdue and that are not known to be silent: they
+            are in use again with their next answer.
     """
 
     total_milli: int
     free_milli: int
+    overdue_milli: int = 0
 
 
 def expected_wait_ms(
@@ -50,6 +53,10 @@
     asked_milli = len(group.waiting) * group.spec.demand.cpu_milli
     if asked_milli <= room.free_milli:
         return 0.0
+    if not room.total_milli and room.overdue_milli:
+        # Every endpoint is overdue at once: most likely the owner itself was late to look. A caller
+        # that is sent away for that loses more than one that waits for the next answer.
+        return 0.0
     place = rank(group, now_ms)
     ahead_ms = sum(one.waiting_cpu_ms for one in own if rank(one, now_ms) <= place)
     ahead_ms += sum(one.summary.cpu_ms for one in others if one.rank < place)
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -50,6 +50,11 @@
         """Whether it has not said that it leaves."""
         return self.record.state is EndpointState.READY
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether it gets no work only because an answer of its is late."""
+        return self.is_ready and not self.is_trusted and not self.is_silent and not self.has_crashed
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs there, as far as is known."""
--- /dev/null
+++ b/tests/test_owners_admission.py
@@ -0,0 +1,56 @@
+# SPDX-License-Identifier: MIT
+"""Which jobs an owner refuses at once while its endpoints do not answer."""
+
+from __future__ import annotations
+
+from foldloom.seed_discovery.endpoints.calls import EndpointReport
+from foldloom.seed_discovery.jobs.spec import Demand
+from foldloom.seed_discovery.owners.messages import Objective, SubmitRuns, SubmitStatus
+from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.scheduling.runs import HolderId
+from test_owners_state import endpoint, owner_with, submission
+
+_E1 = HolderId("e1", 1)
+_NOW_MS = 10_000.0
+
+
+def _urgent() -> SubmitRuns:
+    """Return a job of one task that should start within some hundred milliseconds."""
+    return submission(objective=Objective(0, 1.6, 60, 0), deadline_ms=1_500)
+
+
+def _warm_owner() -> OwnerState:
+    """Return an owner of two endpoints whose term has warmed up."""
+    state = owner_with(endpoint("w1"), endpoint("w2"))
+    state.submit(_E1, submission(job_id="1" * 16, demand=Demand(1, 1, 0)), 1.0)
+    state.cancel(_E1, "1" * 16, 2.0)
+    return state
+
+
+class TestOverdue:
+    """Every answer is overdue at once, as on a box that was late to look."""
+
+    def test_a_job_waits_for_the_next_answer(self) -> None:
+        """It is taken, and starts with that answer."""
+        state = _warm_owner()
+        for name in ("w1", "w2"):
+            state.distrust(name)
+        assert state.submit(_E1, _urgent(), _NOW_MS).status is SubmitStatus.TAKEN
+        state.report(EndpointReport("w1", (), (), _NOW_MS + 20.0), _NOW_MS + 25.0)
+        state.place(_NOW_MS + 25.0)
+        assert [start.endpoint for start in state.actions.pop_starts()] == ["w1"]
+
+    def test_silent_ones_are_not_waited_for(self) -> None:
+        """A poll of each got no answer: the job is refused, and told when to come back."""
+        state = _warm_owner()
+        for name in ("w1", "w2"):
+            state.note_silent(name)
+        reply = state.submit(_E1, _urgent(), _NOW_MS)
+        assert (reply.status, reply.retry_after_ms) == (SubmitStatus.REFUSED, 2_000)
+
+    def test_one_of_them_is_overdue(self) -> None:
+        """The others are silent: it waits for that one."""
+        state = _warm_owner()
+        state.note_silent("w1")
+        state.distrust("w2")
+        assert state.submit(_E1, _urgent(), _NOW_MS).status is SubmitStatus.TAKEN
