A job whose tasks fit no endpoint as it is now is refused at once

What callers saw: after endpoints had shrunk, or with a label that none has, a job waited until it could not be done in time any more, and was then refused with 500 ms to come back.

Cause: admission compared what a job asks for with the room of all endpoints together.

Change: where no endpoint of the service in any zone has the capacity and the label for one such task, however idle, the job is refused at once, with 2 s to come back: endpoints may grow again while they run, so it may be served then, and is (tested). Nothing is concluded while a box may not have heard of all endpoints, in the first 3 s of its life, or where none of the service is known.

Tests of capacities that shrink and grow while endpoints run and do not guard them: under load no start takes one over its capacity from 3 s and one report after the answered report on, and what it grows by is used again (twice each way, real processes); what is being stopped and what is kept for other zones' runs counts.

Left: an owner that has not heard of a smaller capacity gives an endpoint that guards its room orders, each refused one 30 ms after the last, until the next report (1.5 s at most).

--- a/src/foldloom/seed_discovery/owners/admission.py
+++ b/src/foldloom/seed_discovery/owners/admission.py
@@ -8,14 +8,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 
+from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.owners.loads import zone_load
 from foldloom.seed_discovery.owners.messages import SubmitReply, SubmitRuns, SubmitStatus
 from foldloom.seed_discovery.owners.stealing import WorkStealing
 from foldloom.seed_discovery.scheduling.admission import (
+    FITS_NOWHERE_RETRY_MS,
     ZoneRoom,
     expected_wait_ms,
+    fits_nowhere,
     is_too_late,
     retry_after_ms,
 )
@@ -38,14 +41,21 @@
         waiting: The runs that wait here.
         stealing: What waits elsewhere, and how loaded other zones are.
         candidates: The endpoints by id.
+        all_endpoints: Returns the endpoints of all zones, to which runs may be moved; none while
+            they may not all be known.
     """
 
     def __init__(
-        self, waiting: WaitingRuns, stealing: WorkStealing, candidates: Mapping[str, ZoneEndpoint]
+        self,
+        waiting: WaitingRuns,
+        stealing: WorkStealing,
+        candidates: Mapping[str, ZoneEndpoint],
+        all_endpoints: Callable[[], Sequence[EndpointRecord]],
     ) -> None:
         self._waiting = waiting
         self._stealing = stealing
         self._candidates = candidates
+        self._all_endpoints = all_endpoints
         self._first_ms = 0.0
 
     def judge(self, message: SubmitRuns, now_ms: float) -> SubmitReply:
@@ -56,6 +66,8 @@
         """
         if not _is_first_delivery(message) or self._is_warming_up(now_ms):
             return _TAKEN
+        if self._fits_nowhere(message):
+            return SubmitReply(SubmitStatus.REFUSED, "fits nowhere", FITS_NOWHERE_RETRY_MS)
         order = message.orders[0]
         if order.step:
             return _TAKEN
@@ -67,6 +79,13 @@
             return _TAKEN
         return SubmitReply(SubmitStatus.REFUSED, "overload", retry_after_ms(wait_ms))
 
+    def _fits_nowhere(self, message: SubmitRuns) -> bool:
+        """Return whether no endpoint of any zone could run the tasks of *message*."""
+        own = [one.record for one in self._candidates.values()]
+        asked = (message.service, message.demand, message.placement.label)
+        # Most often one of the own zone could, and the others are not looked through.
+        return fits_nowhere(*asked, own) and fits_nowhere(*asked, self._all_endpoints())
+
     def _expected_wait_ms(self, group: Group, now_ms: float) -> float:
         return expected_wait_ms(
             group,
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
+
 from foldloom.seed_discovery.endpoints.calls import CallOutcome, EndpointReport
 from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.fleet.messages import ZoneLoad
@@ -53,9 +55,14 @@
 
     Args:
         gone_after_ms: How long after an owner lost the right to a run it may still be there.
+        all_endpoints: Returns the endpoints of all zones; none while they may not all be known.
     """
 
-    def __init__(self, gone_after_ms: float) -> None:
+    def __init__(
+        self,
+        gone_after_ms: float,
+        all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
+    ) -> None:
         self._knows_all_endpoints = False
         self._candidates: dict[str, ZoneEndpoint] = {}
         self._reported_ms: dict[str, float] = {}
@@ -66,7 +73,9 @@
         self._deliveries = Deliveries(
             self._lifecycle, self._stealing, self._candidates, gone_after_ms
         )
-        self._admission = Admission(self._lifecycle.waiting, self._stealing, self._candidates)
+        self._admission = Admission(
+            self._lifecycle.waiting, self._stealing, self._candidates, all_endpoints
+        )
 
     @property
     def candidates(self) -> dict[str, ZoneEndpoint]:
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -14,6 +14,7 @@
 from foldloom.clock import monotonic_ms
 from foldloom.logs import ENDPOINT_LOG
 from foldloom.seed_discovery.endpoints.calls import EndpointReport
+from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.fleet.messages import (
     HeartbeatAck,
     OwnerHeartbeat,
@@ -73,7 +74,7 @@
         self._network = context.network
         self._metrics = context.metrics
         self._on_fenced = on_fenced
-        self._state = OwnerState(gone_after_ms(timings.endpoint_lease_ms))
+        self._state = OwnerState(gone_after_ms(timings.endpoint_lease_ms), self._all_endpoints)
         self._sessions = Sessions(record.zone, record.token, context.network, timings.session_ms)
         lease_ms = float(timings.endpoint_lease_ms)
         terms = LeaseTerms(
@@ -258,6 +259,12 @@
         """Note that *endpoint* has seen a higher token."""
         self._on_fenced(endpoint)
 
+    def _all_endpoints(self) -> list[EndpointRecord]:
+        """Return the endpoints of all zones, none while some may not have been heard of yet."""
+        if self._context.catalog_age_ms() <= _CATALOG_TRUSTED_MS:
+            return []
+        return self._context.catalog.records
+
     async def _tick(self) -> None:
         while True:
             now_ms = monotonic_ms()
--- a/src/foldloom/seed_discovery/scheduling/admission.py
+++ b/src/foldloom/seed_discovery/scheduling/admission.py
@@ -10,8 +10,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
+from foldloom.seed_discovery.jobs.spec import Demand
 from foldloom.seed_discovery.scheduling.groups import Group
 from foldloom.seed_discovery.scheduling.ranking import rank
+from foldloom.seed_discovery.scheduling.rooms import fits
 from foldloom.seed_discovery.scheduling.sharing import RemoteGroup
 
 # Share of all cores that work can use at a time. Not measured: chosen from the users' sizes, where
@@ -25,6 +28,8 @@
 _RETRY_MIN_MS = 100
 # The upper of the two.
 _RETRY_MAX_MS = 2_000
+# Milliseconds after which a caller should come back whose tasks fit no endpoint as it is now.
+FITS_NOWHERE_RETRY_MS = _RETRY_MAX_MS
 
 
 class ZoneRoom(NamedTuple):
@@ -72,6 +77,22 @@
     return wait_ms > 0 and now_ms + wait_ms / _EXPECTED_WAIT_SHARE > group.start_by()
 
 
+def fits_nowhere(
+    service: str, demand: Demand, label: str, endpoints: Iterable[EndpointRecord]
+) -> bool:
+    """Return whether no endpoint of a service could run such a task, however idle it were.
+
+    Endpoints may shrink and grow again while they run, so the caller may come back. Where no
+    endpoint of the service is known, nothing is known of what would fit.
+    """
+    in_service = [
+        one for one in endpoints if one.service == service and one.state is EndpointState.READY
+    ]
+    return bool(in_service) and not any(
+        fits(demand, one.capacity) and (not label or label in one.labels) for one in in_service
+    )
+
+
 def retry_after_ms(wait_ms: float) -> int:
     """Return when a caller that is refused should come back."""
     return int(min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, wait_ms)))
--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -30,6 +30,9 @@
 # A heartbeat counts only if it is acknowledged within a second.
 _REPORT_TIMEOUT = ClientTimeout(total=1.0)
 _LAPSE_S = 0.005
+# Seconds after the answer to the report of a smaller capacity from which on it holds: the users'
+# bound of contact and one heartbeat of the stand-in.
+SHRUNK_KNOWN_S = 3.0 + _BEAT_S
 # Seconds until an endpoint that a task has crashed is back.
 BACK_AFTER_S = 3.0
 # Seconds after the answer to its leave from which on an endpoint may be given nothing: the users'.
@@ -110,6 +113,11 @@
         self.state = "ready"
         self.is_silent = False
         self.starts_late_s = 0.0
+        self.cpu_milli = CAPACITY["cpu"]
+        self.reported_cpu_milli = self.cpu_milli
+        self._resized_s = 0.0
+        self._demands: dict[RunId, int] = {}
+        self.overfilled: list[str] = []
         self.is_draining_known = False
         self.draining_known_s = 0.0
         self.starts = 0
@@ -210,13 +218,13 @@
                 await asyncio.sleep(_BEAT_S)
 
     async def _report(self, session: ClientSession, controller: str) -> None:
-        state = self.state
+        state, cpu_milli = self.state, self.cpu_milli
         report = {
             "service": SERVICE,
             "address": self.address,
             "zone": self.zone,
             "state": state,
-            "capacity": CAPACITY,
+            "capacity": CAPACITY | {"cpu": cpu_milli},
             "call_seq": self._sequence,
         } | self._life
         url = f"http://{controller}/foldloom/instances/{self.name}"
@@ -225,6 +233,9 @@
                 is_known = response.status == 200
         except (ClientError, TimeoutError):
             return
+        if is_known and cpu_milli != self.reported_cpu_milli:
+            self.reported_cpu_milli = cpu_milli
+            self._resized_s = time.monotonic()
         if is_known and state == "draining" and not self.is_draining_known:
             self.is_draining_known = True
             self.draining_known_s = time.monotonic()
@@ -269,6 +280,7 @@
             self._sightings.note_start(run_id.task)
             self.starts += 1
             self._note_start_after_leave(run_id.task)
+            self._note_room(run_id, msgspec.json.decode(body["spec"]).get("cpu", 0))
             spec = msgspec.json.decode(body["spec"])
             if "crash_ms" in spec:
                 self._crash_in(spec["crash_ms"], run_id.task)
@@ -289,6 +301,23 @@
         if task in self.simulated.active:
             self.crash(task)
 
+    @property
+    def used_milli(self) -> int:
+        """Thousandths of cores that what runs takes, of tasks that say in their text how much."""
+        present = self.simulated.active.items()
+        return sum(self._demands.get(RunId(task, attempt), 0) for task, attempt in present)
+
+    def _note_room(self, run_id: RunId, cpu_milli: int) -> None:
+        """Note a start that takes it over its capacity, once that has been known for long enough.
+
+        It guards its room as little as an endpoint may that does not.
+        """
+        self._demands[run_id] = cpu_milli
+        is_known = self.cpu_milli == self.reported_cpu_milli
+        known_s = time.monotonic() - self._resized_s if is_known else 0.0
+        if self.used_milli > self.cpu_milli and known_s > SHRUNK_KNOWN_S:
+            self.overfilled.append(f"{run_id.text}: {self.used_milli} of {self.cpu_milli}")
+
     def _note_start_after_leave(self, task: TaskId) -> None:
         if not self.is_draining_known:
             return
