--- a/src/foldloom/cli/client.py
+++ b/src/foldloom/cli/client.py
@@ -30,7 +30,7 @@
 EXIT_CONFLICT = 5
 # No answer; it may have taken effect.
 EXIT_UNREACHABLE = 6
-# Seconds for one call. Derived: above the longest deadline of a job (60 s) and a confirm (6 s).
+# Seconds for one call: above the longest deadline of a job (60 s) and a confirm (6 s).
 _TIMEOUT_S = 90.0
 
 
--- a/src/foldloom/cli/load.py
+++ b/src/foldloom/cli/load.py
@@ -28,7 +28,7 @@
 # An hour against 1 ms, in thousandths.
 _RATIO_MAX = 3_600_000
 _PERCENTILES = (50.0, 90.0, 99.0, 99.9)
-# Seconds for one job. Derived: twice the longest deadline of a job (60 s).
+# Seconds for one job: twice the longest deadline of a job (60 s).
 _TIMEOUT_S = 120.0
 # Characters of a bar.
 _PLOT_WIDTH = 48
--- a/src/foldloom/controllers/client.py
+++ b/src/foldloom/controllers/client.py
@@ -19,11 +19,11 @@
 from foldloom.peers.wire import PeerNetwork
 from foldloom.verdicts import Problem, may_have_run, not_run
 
-# Milliseconds for one controller. Not measured: chosen above two elections (600 to 1,200 ms each).
+# Milliseconds for one controller: above two elections (600 to 1,200 ms each).
 _TRY_TIMEOUT_MS = 1_500
-# Seconds until the controllers are asked again. Not measured: chosen small against an election.
+# Seconds until the controllers are asked again: small against an election.
 _PAUSE_S = 0.05
-# Milliseconds after which a caller should come back. Not measured: chosen as about an election.
+# Milliseconds after which a caller should come back: about an election.
 _RETRY_AFTER_MS = 500
 
 
--- a/src/foldloom/controllers/compaction.py
+++ b/src/foldloom/controllers/compaction.py
@@ -14,8 +14,8 @@
 from foldloom.logs import CONTROLLER_LOG
 from foldloom.tasks import TaskSet
 
-# Entries and bytes of the log at which it is replaced by a snapshot. Not measured: chosen so that a
-# restart replays little, and the disk of 128 MB of the users' controllers is never near full.
+# Entries and bytes of the log at which it is replaced by a snapshot, so that a restart replays
+# little, and the disk of 128 MB of the users' controllers is never near full.
 _SNAPSHOT_ENTRIES = 200
 # The same in bytes of the log.
 _SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
--- a/src/foldloom/controllers/controller.py
+++ b/src/foldloom/controllers/controller.py
@@ -34,9 +34,8 @@
 from foldloom.settings import Settings
 from foldloom.tasks import TaskSet
 
-# Seconds between two attempts to open a data folder again whose disk failed. Not measured: chosen
-# because a disk that is full may be freed at any time, and one attempt costs a read and a write of
-# the whole log.
+# Seconds between two attempts to open a data folder again whose disk failed, because a disk that is
+# full may be freed at any time, and one attempt costs a read and a write of the whole log.
 _REOPEN_INTERVAL_S = 1.0
 
 
--- a/src/foldloom/controllers/handover.py
+++ b/src/foldloom/controllers/handover.py
@@ -14,8 +14,8 @@
 from foldloom.controllers.participant import StoppingLeader
 from foldloom.logs import CONTROLLER_LOG
 
-# Seconds between two checks whether another controller could lead, or leads. Not measured: chosen
-# small against an election.
+# Seconds between two checks whether another controller could lead, or leads: small against an
+# election.
 _CHECK_S = 0.01
 
 
--- a/src/foldloom/controllers/holder.py
+++ b/src/foldloom/controllers/holder.py
@@ -24,8 +24,8 @@
 from foldloom.time_limits import TimeLimit
 
 _CACHE_NAME = "config-in-force"
-# Milliseconds for a pull of changes or of the whole configuration. Not measured: chosen for some
-# hundred kilobytes on a slow link.
+# Milliseconds for a pull of changes or of the whole configuration: for some hundred kilobytes on a
+# slow link.
 _PULL_TIMEOUT_MS = 1_000
 
 
--- a/src/foldloom/controllers/intents.py
+++ b/src/foldloom/controllers/intents.py
@@ -13,8 +13,7 @@
 from expression import Error, Ok, Result
 from msgspec import UNSET, UnsetType
 
-# Intents in one plan. Not measured: chosen above twice the 1,700 endpoints of the size to design
-# for.
+# Intents in one plan: above twice the 1,700 endpoints of the size to design for.
 INTENTS_MAX = 5_000
 
 
--- a/src/foldloom/controllers/leadership.py
+++ b/src/foldloom/controllers/leadership.py
@@ -20,7 +20,7 @@
 from foldloom.logs import CONTROLLER_LOG
 from foldloom.time_limits import TimeLimit
 
-# Entries in one append. Not measured: chosen to bound a message to some hundred kilobytes.
+# Entries in one append, to bound a message to some hundred kilobytes.
 _ENTRIES_PER_APPEND = 500
 # Heartbeats in an election time-out, so that several may be lost before a follower stands.
 _HEARTBEATS_PER_ELECTION_TIMEOUT = 6
--- a/src/foldloom/controllers/proposals.py
+++ b/src/foldloom/controllers/proposals.py
@@ -15,7 +15,7 @@
 from foldloom.exceptions import NotLeaderError, PeerUnreachableError
 from foldloom.time_limits import TimeLimit
 
-# Milliseconds for a commit. Not measured: chosen above several elections.
+# Milliseconds for a commit: above several elections.
 _PROPOSE_TIMEOUT_MS = 5_000
 
 
--- a/src/foldloom/controllers/readmission.py
+++ b/src/foldloom/controllers/readmission.py
@@ -12,10 +12,10 @@
 from foldloom.controllers.messages import Readmit
 from foldloom.controllers.participant import Voter
 
-# Seconds between two requests to be counted again. Not measured: chosen small against an election.
+# Seconds between two requests to be counted again: small against an election.
 _READMIT_INTERVAL_S = 0.2
-# Election time-outs without a leader after which a controller asks whether it still counts. Not
-# measured: chosen above one election.
+# Election time-outs without a leader after which a controller asks whether it still counts: above
+# one election.
 _REPLACED_AFTER_TIMEOUTS = 2
 
 
--- a/src/foldloom/controllers/state.py
+++ b/src/foldloom/controllers/state.py
@@ -43,7 +43,7 @@
 
 # Commands whose answers are kept for resends: four days of the 2,400 changes a day to design for.
 COMMANDS_KEPT = 10_000
-# Change sets kept for boxes that lag; others pull the whole configuration. Not measured.
+# Change sets kept for boxes that lag; others pull the whole configuration.
 CHANGES_KEPT = 256
 
 
--- a/src/foldloom/controllers/voter_changes.py
+++ b/src/foldloom/controllers/voter_changes.py
@@ -19,10 +19,10 @@
 from foldloom.controllers.participant import Leader
 from foldloom.logs import CONTROLLER_LOG
 
-# Election time-outs of silence after which a controller may be replaced by a standby. Not measured:
-# chosen above a restart, which takes 1 to 2 s on the users' bench.
+# Election time-outs of silence after which a controller may be replaced by a standby: above a
+# restart, which takes 1 to 2 s on the users' bench.
 _GONE_AFTER_TIMEOUTS = 2.5
-# Election time-outs without a request after which a standby is forgotten. Not measured.
+# Election time-outs without a request after which a standby is forgotten.
 _STANDBY_KEPT_TIMEOUTS = 10
 
 
--- a/src/foldloom/logs.py
+++ b/src/foldloom/logs.py
@@ -24,16 +24,16 @@
 
 from foldloom.settings import LogSettings
 
-# Events of a kind a second. Not measured: chosen above the 60 jobs a second of the users' days, so
-# that it cuts only floods.
+# Events of a kind a second: above the 60 jobs a second of the users' days, so that it cuts only
+# floods.
 EVENTS_PER_S = 200.0
 # Events of a kind at once: two seconds' worth.
 _BURST_EVENTS = 400.0
-# Seconds between two batches. Not measured: chosen so that a log is never far behind.
+# Seconds between two batches, so that a log is never far behind.
 _WRITE_EVERY_S = 0.1
-# Lines that may wait for a slow reader: some 8 MB. Not measured.
+# Lines that may wait for a slow reader: some 8 MB.
 _LINES_MAX = 20_000
-# Seconds for the last batch when a process ends. Not measured.
+# Seconds for the last batch when a process ends.
 _CLOSE_TIMEOUT_S = 0.5
 _PLAIN = (int, float, bool, str)
 
--- a/src/foldloom/peers/connection.py
+++ b/src/foldloom/peers/connection.py
@@ -18,16 +18,14 @@
 from foldloom.peers.messages import Envelope, Frame, encode_envelope
 from foldloom.settings import PeerSettings
 
-# Envelopes that ZeroMQ may queue for a peer; beyond it a message is dropped and counted. Not
-# measured.
+# Envelopes that ZeroMQ may queue for a peer; beyond it a message is dropped and counted.
 HIGH_WATER_MARK = 1_000
-# Messages that may wait for a peer here. Not measured: chosen to bound memory to some megabytes a
-# peer.
+# Messages that may wait for a peer here, to bound memory to some megabytes a peer.
 _OUTBOX_MAX = 20_000
-# Messages in one envelope, so that other tasks get their turn. Not measured.
+# Messages in one envelope, so that other tasks get their turn.
 _FRAMES_PER_ENVELOPE_MAX = 500
 # Milliseconds between ZeroMQ's heartbeats on a connection, and of silence after which it is given
-# up. Not measured: chosen close to the silence after which a peer counts as gone (1,000 ms).
+# up: close to the silence after which a peer counts as gone (1,000 ms).
 _HEARTBEAT_IVL_MS = 500
 # The silence that ends such a connection.
 _HEARTBEAT_TIMEOUT_MS = 1_500
@@ -38,15 +36,15 @@
 _DISCOVERY_HEARTBEAT_IVL_MS = 250
 # The silence that ends it then.
 _DISCOVERY_HEARTBEAT_TIMEOUT_MS = 750
-# Milliseconds for a connection with seed discovery. Not measured: chosen as an owner's silence.
+# Milliseconds for a connection with seed discovery: an owner's silence.
 _CONNECT_TIMEOUT_MS = 400
-# Milliseconds for ZeroMQ's handshake, in which there are no heartbeats yet. Derived: the longest
-# that they let a silence last afterwards. With ZeroMQ's own 30 s a connection that fell silent in
-# its handshake kept two boxes on loopback apart for 30.1 s.
+# Milliseconds for ZeroMQ's handshake, in which there are no heartbeats yet: the longest that they
+# let a silence last afterwards. With ZeroMQ's own 30 s a connection that fell silent in its
+# handshake kept two boxes on loopback apart for 30.1 s.
 _HANDSHAKE_TIMEOUT_MS = _HEARTBEAT_IVL_MS + _HEARTBEAT_TIMEOUT_MS
 # The same with seed discovery.
 _DISCOVERY_HANDSHAKE_TIMEOUT_MS = _DISCOVERY_HEARTBEAT_IVL_MS + _DISCOVERY_HEARTBEAT_TIMEOUT_MS
-# Milliseconds until a connection is tried again, doubled up to the maximum. Not measured.
+# Milliseconds until a connection is tried again, doubled up to the maximum.
 _RECONNECT_MS = 50
 # The longest such pause.
 _RECONNECT_MAX_MS = 500
--- a/src/foldloom/peers/inbound.py
+++ b/src/foldloom/peers/inbound.py
@@ -18,9 +18,9 @@
 from foldloom.peers.connection import HIGH_WATER_MARK
 from foldloom.peers.curve import Curve
 
-# Envelopes taken before other tasks get their turn. Not measured.
+# Envelopes taken before other tasks get their turn.
 _ENVELOPES_AT_ONCE = 50
-# The largest envelope that is received. Not measured: chosen far above a snapshot.
+# The largest envelope that is received: far above a snapshot.
 _ENVELOPE_MAX_BYTES = 64 * 1024 * 1024
 
 
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -45,7 +45,7 @@
 
 # Bits of the number of a life's first request; all numbers of a life fit 64 bits.
 _REQUEST_ID_BITS = 62
-# Milliseconds for which a message is of use if its sender says nothing else. Not measured.
+# Milliseconds for which a message is of use if its sender says nothing else.
 DEFAULT_TTL_MS = 1_000
 
 Handler = Callable[[str, Any], Any]
--- a/src/foldloom/seed_discovery/endpoints/catalog.py
+++ b/src/foldloom/seed_discovery/endpoints/catalog.py
@@ -16,8 +16,8 @@
     judge_report,
 )
 
-# Endpoints that are gone and still known. Not measured: chosen above the 1,700 of the size to
-# design for, at some hundred bytes each.
+# Endpoints that are gone and still known: above the 1,700 of the size to design for, at some
+# hundred bytes each.
 _GONE_KEPT = 2_000
 
 
--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -37,8 +37,8 @@
 from foldloom.tasks import TaskSet
 from foldloom.time_limits import TimeLimit, sleep
 
-# Milliseconds without any owner's heartbeat after which the box is not ready. Not measured: chosen
-# as three times what a zone without an owner took to get one on loopback (444 to 527 ms).
+# Milliseconds without any owner's heartbeat after which the box is not ready: three times what a
+# zone without an owner took to get one on loopback (444 to 527 ms).
 _OWNER_LOST_MS = 1_500.0
 
 ReadQueues = Callable[[Publication], QueueTable]
--- a/src/foldloom/seed_discovery/fleet/joiner.py
+++ b/src/foldloom/seed_discovery/fleet/joiner.py
@@ -26,11 +26,11 @@
 from foldloom.seed_discovery.fleet.published import PublishedHolder
 from foldloom.seed_discovery.fleet.view import FleetView
 
-# Joins in a row without a reply after which a controller is logged as lost. Not measured: chosen
-# because one or two are lost on any busy box.
+# Joins in a row without a reply after which a controller is logged as lost, because one or two are
+# lost on any busy box.
 _LOST_AFTER = 3
-# Seconds between two checks for controllers that are new or gone. Not measured: chosen below the
-# interval between joins (250 ms).
+# Seconds between two checks for controllers that are new or gone: below the interval between joins
+# (250 ms).
 _WATCH_S = 0.1
 
 
--- a/src/foldloom/seed_discovery/fleet/published.py
+++ b/src/foldloom/seed_discovery/fleet/published.py
@@ -16,7 +16,7 @@
 from foldloom.seed_discovery.fleet.cache import PublicationCache
 from foldloom.seed_discovery.fleet.messages import Noted, Published, PullPublished
 
-# Milliseconds for a pull. Not measured: chosen for documents of some megabytes on a slow link.
+# Milliseconds for a pull: for documents of some megabytes on a slow link.
 _PULL_TIMEOUT_MS = 800
 
 
--- a/src/foldloom/seed_discovery/fleet/publisher.py
+++ b/src/foldloom/seed_discovery/fleet/publisher.py
@@ -23,13 +23,12 @@
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, may_have_run, not_run
 
-# Seconds until the leader is looked for again. Not measured: chosen small against an election
-# (600 ms).
+# Seconds until the leader is looked for again: small against an election (600 ms).
 _PAUSE_S = 0.03
-# Milliseconds for one read at the leader. Not measured: chosen as half of the 800 ms that a caller
-# gives, so that a second leader can be asked.
+# Milliseconds for one read at the leader: half of the 800 ms that a caller gives, so that a second
+# leader can be asked.
 _TRY_MS = 400.0
-# Milliseconds after which a caller should come back. Not measured: chosen as about an election.
+# Milliseconds after which a caller should come back: about an election.
 _RETRY_AFTER_MS = 500
 
 
--- a/src/foldloom/seed_discovery/fleet/registry.py
+++ b/src/foldloom/seed_discovery/fleet/registry.py
@@ -41,18 +41,18 @@
 from foldloom.settings import CONTROLLER, ENTRY
 from foldloom.tasks import TaskSet
 
-# Milliseconds since its last join after which a box gets no news. Not measured: chosen as six joins
-# (250 ms), so that a lost one does not matter.
+# Milliseconds since its last join after which a box gets no news: six joins (250 ms), so that a
+# lost one does not matter.
 _LIVE_MS = 1_500.0
-# Milliseconds after which a box is forgotten. Not measured: chosen far above a restart.
+# Milliseconds after which a box is forgotten: far above a restart.
 _FORGET_MS = 10_000.0
-# Milliseconds without a report after which an endpoint is forgotten here; others may know it. Not
-# measured: chosen as eight of the users' heartbeats (1,500 ms).
+# Milliseconds without a report after which an endpoint is forgotten here; others may know it: eight
+# of the users' heartbeats (1,500 ms).
 _ENDPOINT_SILENT_MS = 12_000.0
-# Milliseconds for which a box may take to acknowledge news. Not measured: chosen below the second
-# in which an endpoint's report must be answered, with time for one box that is dead.
+# Milliseconds for which a box may take to acknowledge news: below the second in which an endpoint's
+# report must be answered, with time for one box that is dead.
 _NOTIFY_TIMEOUT_MS = 350
-# Seconds between two checks for what is to be forgotten. Not measured: chosen small against that.
+# Seconds between two checks for what is to be forgotten: small against that.
 _TIDY_S = 1.0
 
 
--- a/src/foldloom/seed_discovery/fleet/view.py
+++ b/src/foldloom/seed_discovery/fleet/view.py
@@ -12,11 +12,11 @@
 from foldloom.seed_discovery.fleet.messages import BoxRecord, JoinReply, OwnerRecord
 from foldloom.settings import ENTRY
 
-# Milliseconds after which a box that nobody mentions is forgotten. Not measured: chosen far above
-# the longest cuts on the users' bench (10 s), since a zone goes on without controllers.
+# Milliseconds after which a box that nobody mentions is forgotten: far above the longest cuts on
+# the users' bench (10 s), since a zone goes on without controllers.
 _FORGET_MS = 20_000.0
-# Milliseconds for which a controller's list of controllers counts. Not measured: chosen far above
-# the interval between joins (250 ms), below the time in which an address is used again.
+# Milliseconds for which a controller's list of controllers counts: far above the interval between
+# joins (250 ms), below the time in which an address is used again.
 _LIST_KEPT_MS = 10_000.0
 
 
--- a/src/foldloom/seed_discovery/job_runner.py
+++ b/src/foldloom/seed_discovery/job_runner.py
@@ -33,8 +33,8 @@
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
 
-# Milliseconds after which a caller whose job was given up should come back. Not measured: chosen as
-# the time in which a zone without an owner gets a new one.
+# Milliseconds after which a caller whose job was given up should come back: the time in which a
+# zone without an owner gets a new one.
 _RETRY_AFTER_MS = 500
 
 
--- a/src/foldloom/seed_discovery/owners/batches.py
+++ b/src/foldloom/seed_discovery/owners/batches.py
@@ -16,8 +16,8 @@
 from foldloom.seed_discovery.owners.open_job import OpenJob
 from foldloom.seed_discovery.owners.started_jobs import REMEMBERED_MS
 
-# Milliseconds beyond a job's deadline until which a box believes an owner's word. Derived: 100 ms
-# less than the owner remembers a start, which two steady clocks do not differ by in some seconds.
+# Milliseconds beyond a job's deadline until which a box believes an owner's word: 100 ms less than
+# the owner remembers a start, which two steady clocks do not differ by in some seconds.
 BELIEVED_MS = REMEMBERED_MS - 100.0
 
 
--- a/src/foldloom/seed_discovery/owners/cancels.py
+++ b/src/foldloom/seed_discovery/owners/cancels.py
@@ -19,8 +19,8 @@
 from foldloom.tasks import TaskSet
 
 # Milliseconds for which a job that is given up waits for its owners' word; without it the job
-# counts as one that may have run. Not measured: chosen as two tries of a cancel (150 ms each),
-# because the caller waits for the answer meanwhile.
+# counts as one that may have run: two tries of a cancel (150 ms each), because the caller waits for
+# the answer meanwhile.
 VERDICT_WAIT_MS = 300
 
 
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -37,13 +37,13 @@
 from foldloom.settings import TimingSettings
 from foldloom.tasks import TaskSet
 
-# Seconds between two checks for owners that fell silent. Not measured: chosen small against the
-# 1.2 s of silence after which their work has ended.
+# Seconds between two checks for owners that fell silent: small against the 1.2 s of silence after
+# which their work has ended.
 _LOST_CHECK_S = 0.05
 # Bits of the number of a life's first delivery: two lives won't share numbers, and all fit 64 bits.
 _DELIVERY_BITS = 48
-# Seconds between two checks for an owner that can take a run. Not measured: chosen small against
-# the 60 ms and more of a job's objective.
+# Seconds between two checks for an owner that can take a run: small against the 60 ms and more of a
+# job's objective.
 _OWNER_CHECK_S = 0.01
 
 
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -30,11 +30,10 @@
 from foldloom.settings import TimingSettings
 from foldloom.tasks import TaskSet
 
-# Milliseconds until a message without a reply is sent again. Not measured: chosen far above a round
-# trip between zones (1.4 ms in a trial on the users' bench).
+# Milliseconds until a message without a reply is sent again: far above a round trip between zones.
 REPLY_TIMEOUT_MS = 150
-# Seconds until runs are delivered again to a box that says it does not own the zone. Not measured:
-# chosen below an owner's heartbeat (100 ms), which names the owner.
+# Seconds until runs are delivered again to a box that says it does not own the zone: below an
+# owner's heartbeat (100 ms), which names the owner.
 _NOT_OWNER_PAUSE_S = 0.02
 
 
--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -21,9 +21,9 @@
 from foldloom.seed_discovery.scheduling.runs import HolderId, RecoveryBound, Run, RunSpec, RunState
 from foldloom.seed_discovery.scheduling.sharing import group_of
 
-# Milliseconds for which a cancel keeps out deliveries that it has overtaken. Derived: a delivery
-# expires on its way after 151 ms, by clocks that are compared to within as much; then the owner may
-# stand still before it handles it, for less than the right that it needs (400 ms).
+# Milliseconds for which a cancel keeps out deliveries that it has overtaken: a delivery expires on
+# its way after 151 ms, by clocks that are compared to within as much; then the owner may stand
+# still before it handles it, for less than the right that it needs (400 ms).
 CANCEL_KEPT_MS = 1_000.0
 
 
--- a/src/foldloom/seed_discovery/owners/election.py
+++ b/src/foldloom/seed_discovery/owners/election.py
@@ -14,16 +14,16 @@
 import random
 from typing import NamedTuple
 
-# Milliseconds of the time of day in one step of a token's upper part. Not measured: chosen below
-# the time in which two owners of a zone can follow each other.
+# Milliseconds of the time of day in one step of a token's upper part: below the time in which two
+# owners of a zone can follow each other.
 _TICK_MS = 100
 # Bits of a token that a box draws at random: two boxes of a zone draw the same once in 262,144.
 _BOX_BITS = 18
-# Milliseconds by which each next candidate waits longer. Not measured: chosen so that the first has
-# acquired the zone and sent a heartbeat before the next one acts.
+# Milliseconds by which each next candidate waits longer, so that the first has acquired the zone
+# and sent a heartbeat before the next one acts.
 _RANK_STEP_MS = 80.0
-# Milliseconds of silence after which a zone that never had an owner is acquired. Not measured:
-# chosen above one heartbeat (100 ms), so that an owner that just began is noticed.
+# Milliseconds of silence after which a zone that never had an owner is acquired: above one
+# heartbeat (100 ms), so that an owner that just began is noticed.
 _FIRST_PATIENCE_MS = 120.0
 
 
--- a/src/foldloom/seed_discovery/owners/elector.py
+++ b/src/foldloom/seed_discovery/owners/elector.py
@@ -37,19 +37,19 @@
 from foldloom.seed_discovery.owners.zone_owner import ZoneOwner
 from foldloom.settings import TimingSettings
 
-# Seconds between two checks of the owner's silence. Not measured: chosen small against 400 ms.
+# Seconds between two checks of the owner's silence: small against 400 ms.
 _CHECK_S = 0.03
-# Milliseconds for which witnesses may answer. Not measured: chosen far above a round trip between
-# zones (1.4 ms in a trial on the users' bench); an owner is lost that long more if one is dead.
+# Milliseconds for which witnesses may answer: far above a round trip between zones; an owner is
+# lost that long more if one is dead.
 _QUERY_TIMEOUT_MS = 120
 # Milliseconds for which the silent owner itself may answer: 120 before commit 7c966ad, which
 # measured 675 ms without an owner; since then 444 to 527 ms in five runs on loopback.
 _OWNER_QUERY_TIMEOUT_MS = 30
-# Milliseconds after which refusals for a higher token are counted from 0 again. Not measured:
-# chosen so that a clock that went back does not make every later term start with a large step.
+# Milliseconds after which refusals for a higher token are counted from 0 again, so that a clock
+# that went back does not make every later term start with a large step.
 _FENCED_FORGET_MS = 5_000.0
-# Refusals in a row after which the zone is acquired again only after the full patience. Not
-# measured: chosen because the step to the next token has grown past any clock's error by then.
+# Refusals in a row after which the zone is acquired again only after the full patience, because the
+# step to the next token has grown past any clock's error by then.
 _FENCED_MAX = 6
 
 
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -24,16 +24,16 @@
 from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, EndpointClock
 
-# Milliseconds that a poll waits at the endpoint for an end. Not measured: chosen as a third of the
-# 600 ms of a lease, so that two polls may be lost before it lapses.
+# Milliseconds that a poll waits at the endpoint for an end: a third of the 600 ms of a lease, so
+# that two polls may be lost before it lapses.
 _POLL_WAIT_MS = 200
-# Seconds to the next poll after one without an answer, doubled up to the maximum. Not measured:
-# chosen because an endpoint that restarts is back within a second, and should be found soon.
+# Seconds to the next poll after one without an answer, doubled up to the maximum, because an
+# endpoint that restarts is back within a second, and should be found soon.
 _RETRY_S = 0.05
 # The longest such pause.
 _RETRY_MAX_S = 0.4
-# Milliseconds beyond the wait after which an unanswered call costs the endpoint new work. Not
-# measured: chosen well above a round trip in the zone (0.7 ms in a trial on the users' bench).
+# Milliseconds beyond the wait after which an unanswered call costs the endpoint new work: well
+# above a round trip in the zone.
 SUSPECT_AFTER_MS = 80
 
 
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -24,7 +24,7 @@
 from foldloom.seed_discovery.owners.state import OwnerState
 
 # Milliseconds without an answer after which an endpoint is dropped from the catalog; it reports
-# itself if it lives. Not measured: chosen as ten of the users' heartbeats (1,500 ms).
+# itself if it lives: ten of the users' heartbeats (1,500 ms).
 _FORGET_SILENT_MS = 15_000.0
 
 
--- a/src/foldloom/seed_discovery/owners/heartbeats.py
+++ b/src/foldloom/seed_discovery/owners/heartbeats.py
@@ -15,8 +15,8 @@
 from foldloom.seed_discovery.fleet.messages import OwnerHeartbeat, OwnerRecord, ZoneLoad
 from foldloom.seed_discovery.owners.context import OwnerContext
 
-# Entry boxes in all zones up to which heartbeats go to all of them. Not measured: chosen to bound
-# the messages of large fleets (docs/CAPACITY.md).
+# Entry boxes in all zones up to which heartbeats go to all of them, to bound the messages of large
+# fleets (docs/CAPACITY.md).
 _ALL_ENTRIES_MAX = 64
 
 
--- a/src/foldloom/seed_discovery/owners/lease.py
+++ b/src/foldloom/seed_discovery/owners/lease.py
@@ -12,11 +12,11 @@
 
 # Share by which an endpoint's clock may run slow: the bound that the users' platform gives.
 CLOCK_SLOW_SHARE = 0.02
-# Milliseconds for which a lease is still renewed while an order to stop is not confirmed. Not
-# measured: chosen as twice the 50 ms that a stop takes at most on the users' platform.
+# Milliseconds for which a lease is still renewed while an order to stop is not confirmed: twice the
+# 50 ms that a stop takes at most on the users' platform.
 STOP_OVERDUE_MS = 100.0
-# Milliseconds beyond a lease's end before it counts as lapsed. Not measured: chosen for timers that
-# fire late on a busy box.
+# Milliseconds beyond a lease's end before it counts as lapsed: for timers that fire late on a busy
+# box.
 LAPSE_MARGIN_MS = 40.0
 _RATE_MIN = 1.0 - CLOCK_SLOW_SHARE
 
--- a/src/foldloom/seed_discovery/owners/offers.py
+++ b/src/foldloom/seed_discovery/owners/offers.py
@@ -17,14 +17,14 @@
 from foldloom.seed_discovery.owners.messages import StealReply, StealRuns, WaitingGroups
 from foldloom.seed_discovery.owners.state import OwnerState
 
-# Milliseconds that an owner waits for the reply of another zone's. Not measured: chosen because the
-# room reserved for the runs is kept for 40 ms (RESERVED_MS), which must be longer.
+# Milliseconds that an owner waits for the reply of another zone's, because the room reserved for
+# the runs is kept for 40 ms (RESERVED_MS), which must be longer.
 _STEAL_TIMEOUT_MS = 30
-# Milliseconds for which an offer is of use; the next one replaces it. Not measured: chosen as a
-# third of the time for which other owners act on it (VIEW_KEPT_MS).
+# Milliseconds for which an offer is of use; the next one replaces it: a third of the time for which
+# other owners act on it (VIEW_KEPT_MS).
 _OFFER_TTL_MS = 100
-# Seconds between two offers at least. Not measured: chosen to bound messages between zones, which
-# cost, while a job's objective is 60 ms and more.
+# Seconds between two offers at least, to bound messages between zones, which cost, while a job's
+# objective is 60 ms and more.
 _OFFER_PAUSE_S = 0.003
 
 
--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -16,11 +16,11 @@
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.runs import Run, RunState
 
-# Milliseconds without new work for an endpoint that refused a start for want of room: it frees
-# some when a run ends, and tasks of the users take 60 ms and more. Not measured.
+# Milliseconds without new work for an endpoint that refused a start for want of room: it frees some
+# when a run ends, and tasks of the users take 60 ms and more.
 NO_ROOM_PAUSE_MS = 30.0
-# Milliseconds without new work for an endpoint that says it is unhealthy. Not measured: chosen to
-# be longer than the tasks of most jobs, which lose less on other endpoints.
+# Milliseconds without new work for an endpoint that says it is unhealthy, to be longer than the
+# tasks of most jobs, which lose less on other endpoints.
 UNHEALTHY_PAUSE_MS = 300.0
 
 
--- a/src/foldloom/seed_discovery/owners/reports.py
+++ b/src/foldloom/seed_discovery/owners/reports.py
@@ -21,8 +21,8 @@
 from foldloom.seed_discovery.scheduling.endpoints import OrphanedRun, ZoneEndpoint
 from foldloom.seed_discovery.scheduling.runs import Run, RunState
 
-# Milliseconds. Not measured: chosen because entry boxes deliver what they have open to a new owner
-# within one heartbeat of it (100 ms), or three where heartbeats are lost.
+# Milliseconds: entry boxes deliver what they have open to a new owner within one heartbeat
+# of it (100 ms), or three where heartbeats are lost.
 ORPHAN_GRACE_MS = 300.0
 
 
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -19,11 +19,10 @@
 from foldloom.seed_discovery.owners.messages import RunEnd, RunsEnded, SessionBegan
 from foldloom.seed_discovery.scheduling.runs import HolderId
 
-# Milliseconds until a message without a reply is sent again. Not measured: chosen far above a round
-# trip between zones (1.4 ms in a trial on the users' bench), so that a busy box is not sent twice.
+# Milliseconds until a message without a reply is sent again: far above a round trip between zones,
+# so that a busy box is not sent twice.
 _ACK_TIMEOUT_MS = 150
-# Ends in one message. Not measured: chosen to bound a message after a cut to some tens of
-# kilobytes.
+# Ends in one message, to bound a message after a cut to some tens of kilobytes.
 _ENDS_AT_ONCE = 200
 
 
--- a/src/foldloom/seed_discovery/owners/started_jobs.py
+++ b/src/foldloom/seed_discovery/owners/started_jobs.py
@@ -13,12 +13,12 @@
 import heapq
 from typing import NamedTuple
 
-# Milliseconds beyond a job's deadline for which it is remembered. Not measured: chosen so that a
-# box that is late by a second still gets an answer of use. How late a box can be has no bound: it
-# checks by its own clock whether it may still believe the owner.
+# Milliseconds beyond a job's deadline for which it is remembered, so that a box that is late by a
+# second still gets an answer of use. How late a box can be has no bound: it checks by its own clock
+# whether it may still believe the owner.
 REMEMBERED_MS = 2_000.0
 # Milliseconds for which a job is remembered whose deadline is not known, since no box has delivered
-# it. Not measured: chosen as twice the longest of the users' deadlines, 2.8 s, and some more.
+# it: twice the longest of the users' deadlines, 2.8 s, and some more.
 _UNKNOWN_KEPT_MS = 6_000.0
 
 
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -45,8 +45,8 @@
 from foldloom.seed_discovery.scheduling.sharing import GroupId, GroupSummary
 from foldloom.seed_discovery.scheduling.waiting import WaitingRuns
 
-# How many groups an owner offers to the owners of other zones. Not measured: chosen because these
-# are the next in order, and the offer is renewed 3 ms after each change.
+# How many groups an owner offers to the owners of other zones, because these are the next in order,
+# and the offer is renewed 3 ms after each change.
 OFFERED_GROUPS_MAX = 24
 
 
--- a/src/foldloom/seed_discovery/owners/stragglers.py
+++ b/src/foldloom/seed_discovery/owners/stragglers.py
@@ -11,14 +11,14 @@
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.scheduling.runs import RunState
 
-# Times the expected duration. Not measured: chosen because callers' guesses were off by 40% on the
-# users' bench, so that a run of twice the expected time is not usual.
+# Times the expected duration, because callers' guesses were off by 40% on the users' bench, so that
+# a run of twice the expected time is not usual.
 OVERDUE_FACTOR = 2.0
-# Times the longest duration expected of the step. Not measured: chosen above OVERDUE_FACTOR, so
-# that a slow endpoint is learned of before work on it is thrown away.
+# Times the longest duration expected of the step: above OVERDUE_FACTOR, so that a slow endpoint is
+# learned of before work on it is thrown away.
 STUCK_FACTOR = 3.0
-# Milliseconds on top. Not measured: chosen because an order and a report take some milliseconds
-# each on a busy machine, which would count for much against tasks of a few milliseconds.
+# Milliseconds on top, because an order and a report take some milliseconds each on a busy machine,
+# which would count for much against tasks of a few milliseconds.
 STUCK_MARGIN_MS = 40.0
 # Times the duration after which the task's last run was stopped as stuck. Without it a task that
 # takes longer than anybody expected was stopped again and again at the same age and never ended:
--- a/src/foldloom/seed_discovery/owners/tombstones.py
+++ b/src/foldloom/seed_discovery/owners/tombstones.py
@@ -14,8 +14,8 @@
 from foldloom.seed_discovery.owners.messages import EndCause, RunEnd
 from foldloom.seed_discovery.scheduling.runs import HolderId, Run
 
-# Milliseconds. Not measured: chosen because no message, order or lease lives longer than the
-# longest of the users' deadlines, 2.8 s, and twice that leaves a margin.
+# Milliseconds: no message, order or lease lives longer than the longest of the users'
+# deadlines, 2.8 s, and twice that leaves a margin.
 TOMBSTONE_KEPT_MS = 6_000.0
 
 CAUSE_OF_KIND = {
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -44,14 +44,14 @@
 from foldloom.seed_discovery.scheduling.runs import HolderId
 from foldloom.tasks import TaskSet
 
-# Seconds between two ticks. Not measured: chosen as a fifth of the 100 ms after which the
-# shortest of the bounds that a tick watches (STOP_OVERDUE_MS) has passed.
+# Seconds between two ticks: a fifth of the 100 ms after which the shortest of the bounds that a
+# tick watches (STOP_OVERDUE_MS) has passed.
 _TICK_S = 0.02
-# Milliseconds after which an order to stop is sent again. Not measured: chosen below the call's
-# time-out of 250 ms, since a stopped run's lease is not renewed until the stop is confirmed.
+# Milliseconds after which an order to stop is sent again: below the call's time-out of 250 ms,
+# since a stopped run's lease is not renewed until the stop is confirmed.
 _STOP_REPEAT_MS = 100.0
-# Milliseconds of life after which a box knows every endpoint that the owner before it knew. Derived
-# from the users' heartbeats: each endpoint reports every 1,500 ms, so in this time at least once.
+# Milliseconds of life after which a box knows every endpoint that the owner before it knew, by
+# the users' heartbeats: each endpoint reports every 1,500 ms, so in this time at least once.
 _CATALOG_TRUSTED_MS = 3_000.0
 
 
--- a/src/foldloom/seed_discovery/scheduling/admission.py
+++ b/src/foldloom/seed_discovery/scheduling/admission.py
@@ -17,14 +17,14 @@
 from foldloom.seed_discovery.scheduling.rooms import fits
 from foldloom.seed_discovery.scheduling.sharing import RemoteGroup
 
-# Share of all cores that work can use at a time. Not measured: chosen from the users' sizes, where
-# two tasks of 6.8 cores fill 13.6 of 16 cores and three 20.4 of 24 (both 0.85).
+# Share of all cores that work can use at a time: from the users' sizes, where two tasks of 6.8
+# cores fill 13.6 of 16 cores and three 20.4 of 24 (both 0.85).
 _USABLE_SHARE = 0.85
-# Share of the time a job really waits that the expected wait is. Not measured: chosen below 1
-# because urgent work that comes later goes first.
+# Share of the time a job really waits that the expected wait is: below 1 because urgent work that
+# comes later goes first.
 _EXPECTED_WAIT_SHARE = 0.5
-# Milliseconds, bounds of when a refused caller should come back. Not measured: chosen so that a
-# caller does not come back at once, and not later than the longest deadlines allow.
+# Milliseconds, bounds of when a refused caller should come back, so that a caller does not come
+# back at once, and not later than the longest deadlines allow.
 _RETRY_MIN_MS = 100
 # The upper of the two.
 _RETRY_MAX_MS = 2_000
--- a/src/foldloom/seed_discovery/scheduling/estimates.py
+++ b/src/foldloom/seed_discovery/scheduling/estimates.py
@@ -8,15 +8,15 @@
 
 import math
 
-# Weight of a new task in the means. Not measured: chosen to follow a change within some 20 tasks.
+# Weight of a new task in the means, to follow a change within some 20 tasks.
 _WEIGHT = 0.05
-# The first tasks weigh 1 / (this + their count), which meets _WEIGHT. Derived: 1 / _WEIGHT.
+# The first tasks weigh 1 / (this + their count), which meets _WEIGHT: 1 / _WEIGHT.
 _FIRST_WEIGHT_RUNS = 20
 # Variance of logarithms that is assumed at first: guesses are off by 40% (0.4 squared), as the
 # users' site files say.
 _VARIANCE_START = 0.16
-# Least variance of logarithms (5%, squared). Not measured: chosen so that neither a guess nor a
-# mean that was right for a while gets all the weight.
+# Least variance of logarithms (5%, squared), so that neither a guess nor a mean that was right for
+# a while gets all the weight.
 _VARIANCE_MIN = 0.0025
 
 
--- a/src/foldloom/seed_discovery/scheduling/groups.py
+++ b/src/foldloom/seed_discovery/scheduling/groups.py
@@ -13,14 +13,14 @@
 
 # Times its objective, until which a job earns anything: the users' rule for late answers.
 LATE_FACTOR = 3.0
-# By how much the longest task of a step exceeds the mean, for each doubling of the count of tasks.
-# Not measured: chosen for the spread of 0.15 between tasks of a step in the users' site files.
+# By how much the longest task of a step exceeds the mean, for each doubling of the count of tasks:
+# for the spread of 0.15 between tasks of a step in the users' site files.
 _UNEVEN_PER_DOUBLING = 0.08
-# Milliseconds from a task's end to the caller's answer. Not measured: chosen as three one-way
-# delays to clients (3 ms) and a hop within the zone.
+# Milliseconds from a task's end to the caller's answer: three one-way delays to clients (3 ms) and
+# a hop within the zone.
 _ANSWER_MS = 10.0
-# Weight of the tasks of the step that are done against the estimate for its queue. Not measured:
-# chosen because tasks of one step are much more alike than jobs of one queue.
+# Weight of the tasks of the step that are done against the estimate for its queue, because tasks of
+# one step are much more alike than jobs of one queue.
 _OWN_WEIGHT = 0.7
 
 
--- a/src/foldloom/seed_discovery/scheduling/ranking.py
+++ b/src/foldloom/seed_discovery/scheduling/ranking.py
@@ -12,8 +12,8 @@
 
 from foldloom.seed_discovery.scheduling.groups import Group
 
-# Share of the speed that a group needs by its estimate, below which an endpoint is left out. Not
-# measured: chosen below 1 because estimates are off by some tens of per cent.
+# Share of the speed that a group needs by its estimate, below which an endpoint is left out: below
+# 1 because estimates are off by some tens of per cent.
 _SPEED_TOLERANCE = 0.75
 
 
--- a/src/foldloom/seed_discovery/scheduling/sharing.py
+++ b/src/foldloom/seed_discovery/scheduling/sharing.py
@@ -15,12 +15,11 @@
 from foldloom.seed_discovery.jobs.spec import Demand, Placement, TaskId
 from foldloom.seed_discovery.scheduling.ranking import Rank
 
-# Milliseconds for which what another zone's owner said is acted on. Not measured: chosen as three
-# of its heartbeats (100 ms), which carry its load.
+# Milliseconds for which what another zone's owner said is acted on: three of its heartbeats (100
+# ms), which carry its load.
 VIEW_KEPT_MS = 300.0
-# Milliseconds for which room is kept for a stolen run. Not measured: chosen above the 30 ms for
-# which the request waits for its reply, plus the box's delivery over two hops between zones (0.5 ms
-# each).
+# Milliseconds for which room is kept for a stolen run: above the 30 ms for which the request waits
+# for its reply, plus the box's delivery over two hops between zones (0.5 ms each).
 RESERVED_MS = 40.0
 
 
--- a/src/foldloom/seed_discovery/scheduling/speeds.py
+++ b/src/foldloom/seed_discovery/scheduling/speeds.py
@@ -9,14 +9,14 @@
 import math
 import statistics
 
-# Weight of a new run in an endpoint's mean. Not measured: chosen to follow an endpoint that turned
-# slow within some ten runs.
+# Weight of a new run in an endpoint's mean, to follow an endpoint that turned slow within some ten
+# runs.
 _WEIGHT = 0.1
 # In logarithms (a factor of 1.5): by how much a run that goes on must exceed the expected time
-# beyond what it tells. Not measured: chosen because guesses are off by 40%.
+# beyond what it tells, because guesses are off by 40%.
 _OVERDUE_MARGIN = 0.4
-# Runs after which the middle endpoint is determined anew. Not measured: chosen as about the number
-# of endpoints at the users' size, so that each has run something in between.
+# Runs after which the middle endpoint is determined anew: about the number of endpoints at the
+# users' size, so that each has run something in between.
 _NOTES_PER_CENTRE = 25
 
 
--- a/src/foldloom/settings.py
+++ b/src/foldloom/settings.py
@@ -38,14 +38,14 @@
     tls_certificate_file: str = ""
     # Its private key in PEM.
     tls_key_file: str = ""
-    # Bytes of a request's body; larger ones get 413. Not measured.
+    # Bytes of a request's body; larger ones get 413.
     body_max_bytes: PositiveInt = 8 * 1024 * 1024
-    # Milliseconds for the first request head of a connection. Not measured.
+    # Milliseconds for the first request head of a connection.
     header_timeout_ms: PositiveInt = 10_000
-    # Milliseconds for a body; slower ones get 408. Not measured.
+    # Milliseconds for a body; slower ones get 408.
     body_timeout_ms: PositiveInt = 30_000
-    # Connections at a time; more are closed at once. Not measured: chosen below the 4,096
-    # descriptors of the users' boxes.
+    # Connections at a time; more are closed at once: below the 4,096 descriptors of the users'
+    # boxes.
     connections_max: PositiveInt = 2_000
 
 
@@ -73,43 +73,40 @@
 class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds on jobs, queues, retries and what is kept in memory."""
 
-    # Tasks of a job; more get 413. Not measured: chosen above the 1,700 of the size to design for.
+    # Tasks of a job; more get 413: above the 1,700 of the size to design for.
     tasks_per_job_max: PositiveInt = 2_000
-    # Jobs that run on a box at a time. Not measured.
+    # Jobs that run on a box at a time.
     jobs_in_flight_max: PositiveInt = 4_000
-    # Tasks that wait at one lease manager. Not measured.
+    # Tasks that wait at one lease manager.
     queued_tasks_max: PositiveInt = 4_000
-    # The same of one customer. Not measured.
+    # The same of one customer.
     queued_tasks_per_customer_max: PositiveInt = msgspec.field(
         default=4_000, name="queued_tasks_per_member_max"
     )
     # Connections to one endpoint: what the users' endpoints take.
     connections_per_endpoint: PositiveInt = msgspec.field(default=64, name="connections_per_worker")
-    # Bytes of a task's answer. Not measured.
+    # Bytes of a task's answer.
     answer_max_bytes: PositiveInt = 1024 * 1024
-    # Answers that are kept for resubmissions. Not measured.
+    # Answers that are kept for resubmissions.
     retained_jobs_max: PositiveInt = 200_000
-    # Bytes of these answers. Not measured.
+    # Bytes of these answers.
     retained_bytes_max: PositiveInt = 256 * 1024 * 1024
     # Claims that a replica holds; at some 280 bytes each (docs/CAPACITY.md).
     claims_max: PositiveInt = 1_000_000
-    # Share of recent starts that may be retries, so that a failing zone makes no storm. Not
-    # measured.
+    # Share of recent starts that may be retries, so that a failing zone makes no storm.
     retry_share: Share = 0.1
-    # Share of a shard's endpoints that may be left out as sick at a time. Not measured: chosen as
-    # one of three.
+    # Share of a shard's endpoints that may be left out as sick at a time: one of three.
     ejected_share_max: Share = 0.34
-    # Endpoints above which a zone's slots are shared between lease managers. Not measured.
+    # Endpoints above which a zone's slots are shared between lease managers.
     lease_shard_endpoints: PositiveInt = msgspec.field(default=64, name="lease_shard_workers")
 
 
 class TimingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Intervals and time-outs, all in milliseconds."""
 
-    # Between two heartbeats to each box. Not measured: chosen so that several may be lost before a
-    # box counts as silent.
+    # Between two heartbeats to each box, so that several may be lost before a box counts as silent.
     heartbeat_ms: PositiveInt = 250
-    # Silence after which a box counts as gone. Derived: four heartbeats.
+    # Silence after which a box counts as gone: four heartbeats.
     peer_silent_ms: PositiveInt = 1_000
     # A job's deadline if it names none.
     deadline_default_ms: PositiveInt = 30_000
@@ -117,42 +114,41 @@
     deadline_max_ms: PositiveInt = 60_000
     # For how long after its deadline a submission is remembered.
     resubmission_window_ms: PositiveInt = 120_000
-    # For all votes of a claim. Not measured: chosen far above a round trip between zones.
+    # For all votes of a claim: far above a round trip between zones.
     claim_timeout_ms: PositiveInt = 300
-    # Until the third replica is asked as well. Not measured: chosen above the usual vote, which
-    # takes some milliseconds under load.
+    # Until the third replica is asked as well: above the usual vote, which takes some milliseconds
+    # under load.
     claim_hedge_ms: PositiveInt = 15
-    # A slot's lease without a renewal. Not measured.
+    # A slot's lease without a renewal.
     lease_ttl_ms: PositiveInt = 2_000
-    # Silence of the leader after which a controller stands; drawn up to twice that. Not measured:
-    # chosen far above a sync of the users' disks (9 ms) and a round trip.
+    # Silence of the leader after which a controller stands; drawn up to twice that: far above a
+    # sync of the users' disks (9 ms) and a round trip.
     election_timeout_ms: PositiveInt = 600
     # Added to each sync, to stand for a slower disk in benchmarks.
     sync_delay_ms: NonNegativeInt = 0
-    # Bound of a planned stop. Derived: above the longest deadline.
+    # Bound of a planned stop: above the longest deadline.
     stop_timeout_ms: PositiveInt = 70_000
     # Between two polls of the platform's list of boxes.
     platform_poll_ms: PositiveInt = 500
-    # For how long a sick endpoint is left out before it is probed. Not measured.
+    # For how long a sick endpoint is left out before it is probed.
     ejection_ms: PositiveInt = 2_000
-    # Between two joins of each controller (seed discovery). Not measured.
+    # Between two joins of each controller (seed discovery).
     join_ms: PositiveInt = 250
-    # Between two heartbeats of a zone's owner. Not measured.
+    # Between two heartbeats of a zone's owner.
     owner_heartbeat_ms: PositiveInt = msgspec.field(default=100, name="owner_beat_ms")
-    # Silence after which an owner is replaced. Derived: four of its heartbeats; on loopback a zone
-    # was without an owner for 444 to 527 ms.
+    # Silence after which an owner is replaced: four of its heartbeats; on loopback a zone was
+    # without an owner for 444 to 527 ms.
     owner_silent_ms: PositiveInt = 400
-    # For how long an acknowledged heartbeat lets an owner run a box's tasks. Derived: as an owner's
-    # silence, so that a new owner need not wait for the old one's right.
+    # For how long an acknowledged heartbeat lets an owner run a box's tasks: as an owner's silence,
+    # so that a new owner need not wait for the old one's right.
     session_ms: PositiveInt = 400
-    # Lease of what runs on an endpoint. Not measured: chosen so that two polls (200 ms) may be
-    # lost.
+    # Lease of what runs on an endpoint, so that two polls (200 ms) may be lost.
     endpoint_lease_ms: PositiveInt = msgspec.field(default=600, name="worker_lease_ms")
     # The longest lease that an endpoint gives, whatever it is asked for: the bound of the users'
     # platform.
     endpoint_lease_max_ms: PositiveInt = 1_000
-    # From a planned stop to the end of new connections. Derived: above the two seconds after which
-    # the users' balancer leaves a box that is not ready.
+    # From a planned stop to the end of new connections: above the two seconds after which the
+    # users' balancer leaves a box that is not ready.
     drain_ms: PositiveInt = 2_500
 
 
--- a/src/foldloom/static_peers/box.py
+++ b/src/foldloom/static_peers/box.py
@@ -32,10 +32,10 @@
 from foldloom.static_peers.membership import Heartbeat, Membership
 from foldloom.tasks import TaskSet
 
-# Seconds between two checks of configuration, membership and the platform's list. Not measured:
-# chosen below a heartbeat (250 ms).
+# Seconds between two checks of configuration, membership and the platform's list: below a heartbeat
+# (250 ms).
 _FOLLOW_S = 0.1
-# Milliseconds to show that a version is the newest. Not measured: chosen above two elections.
+# Milliseconds to show that a version is the newest: above two elections.
 _BARRIER_TIMEOUT_MS = 1_500
 
 
--- a/src/foldloom/static_peers/box_list.py
+++ b/src/foldloom/static_peers/box_list.py
@@ -18,8 +18,7 @@
 from foldloom.settings import Settings
 from foldloom.static_peers.membership import Membership
 
-# Seconds between two checks whether a joint box list can settle. Not measured: chosen as one
-# heartbeat (250 ms).
+# Seconds between two checks whether a joint box list can settle: one heartbeat (250 ms).
 _CHECK_S = 0.25
 
 
--- a/src/foldloom/static_peers/claims/recovery.py
+++ b/src/foldloom/static_peers/claims/recovery.py
@@ -21,11 +21,11 @@
 from foldloom.static_peers.claims.replicas import ReplicaSets
 from foldloom.static_peers.claims.table import ClaimTable
 
-# Milliseconds for one part of a copy. Not measured: chosen far above 500 claims on a slow link.
+# Milliseconds for one part of a copy: far above 500 claims on a slow link.
 _COPY_TIMEOUT_MS = 2_000
-# Seconds until a replica that did not answer is asked again. Not measured.
+# Seconds until a replica that did not answer is asked again.
 _PAUSE_S = 0.2
-# Milliseconds to record a life with the controllers. Not measured: chosen above two elections.
+# Milliseconds to record a life with the controllers: above two elections.
 _RECORD_TIMEOUT_MS = 2_000
 
 
--- a/src/foldloom/static_peers/claims/service.py
+++ b/src/foldloom/static_peers/claims/service.py
@@ -31,10 +31,9 @@
 from foldloom.static_peers.claims.replicas import ReplicaSets, replica_sets
 from foldloom.static_peers.claims.table import ClaimTable
 
-# Claims in one part of a copy: some 50 kilobytes. Not measured.
+# Claims in one part of a copy: some 50 kilobytes.
 _COPY_CHUNK = 500
-# Seconds between two checks for claims to forget. Not measured: chosen small against their
-# retention.
+# Seconds between two checks for claims to forget: small against their retention.
 _EXPIRE_INTERVAL_S = 1.0
 
 
--- a/src/foldloom/static_peers/endpoints/adapter.py
+++ b/src/foldloom/static_peers/endpoints/adapter.py
@@ -23,11 +23,11 @@
 from foldloom.verdicts import Problem, may_have_run, not_run
 
 RUN_HEADER = "Foldloom-Run"
-# Seconds for a connection. Not measured: chosen far above a round trip, below a job's deadline.
+# Seconds for a connection: far above a round trip, below a job's deadline.
 _CONNECT_TIMEOUT_S = 1.0
 # Seconds for a usage report; the next one is asked for then.
 _USAGE_TIMEOUT_S = 0.5
-# Seconds for which an idle connection is kept. Not measured: chosen below common servers' limits.
+# Seconds for which an idle connection is kept: below common servers' limits.
 _KEEPALIVE_S = 15.0
 # Seconds for an order to stop, whose answer nobody waits for.
 _STOP_TIMEOUT_S = 1.0
--- a/src/foldloom/static_peers/endpoints/platform.py
+++ b/src/foldloom/static_peers/endpoints/platform.py
@@ -14,7 +14,7 @@
 
 from foldloom.logs import ENDPOINT_LOG
 
-# Seconds for one poll of the list. Not measured: chosen as two of the intervals between polls.
+# Seconds for one poll of the list: two of the intervals between polls.
 _TIMEOUT_S = 1.0
 
 
--- a/src/foldloom/static_peers/entry/coordinator.py
+++ b/src/foldloom/static_peers/entry/coordinator.py
@@ -31,11 +31,11 @@
 from foldloom.tasks import TaskSet
 from foldloom.verdicts import Problem, Verdict, may_have_run, not_run
 
-# How often a claim is tried whose votes were split between boxes. Not measured: chosen because each
-# try waits longer, so that one of two boxes wins.
+# How often a claim is tried whose votes were split between boxes, because each try waits longer, so
+# that one of two boxes wins.
 _CLAIM_TRIES = 4
-# Seconds until the first try after a split vote, drawn between these two and doubled. Not measured:
-# chosen as a few round trips between zones.
+# Seconds until the first try after a split vote, drawn between these two and doubled: a few round
+# trips between zones.
 _BACKOFF_MIN_S = 0.002
 # The longest such pause.
 _BACKOFF_MAX_S = 0.02
--- a/src/foldloom/static_peers/entry/follow.py
+++ b/src/foldloom/static_peers/entry/follow.py
@@ -36,20 +36,20 @@
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, may_have_run, not_run
 
-# Milliseconds for which the coordinator holds one question about a job. Not measured: chosen to
-# bound what a lost answer costs.
+# Milliseconds for which the coordinator holds one question about a job, to bound what a lost answer
+# costs.
 _POLL_MS = 1_000
 # The same where the caller only asks what is known.
 _PEEK_MS = 1
-# Milliseconds for an answer. Derived: above the time for which the question is held.
+# Milliseconds for an answer: above the time for which the question is held.
 _ASK_TIMEOUT_MS = 1_500
-# Milliseconds after which a caller should come back whose job may run elsewhere. Not measured.
+# Milliseconds after which a caller should come back whose job may run elsewhere.
 _RETRY_AFTER_MS = 1_000
 # Questions in a row without an answer after which the coordinator counts as unreachable.
 _FAILED_ASKS_MAX = 2
-# Answers in one message when a box stops. Not measured: chosen to bound it to some megabytes.
+# Answers in one message when a box stops, to bound it to some megabytes.
 _HANDOVER_CHUNK = 200
-# Milliseconds for such a message. Not measured.
+# Milliseconds for such a message.
 _HANDOVER_TIMEOUT_MS = 3_000
 
 CONFLICT = not_run("other-content", "this submission was used for other content", status=409)
--- a/src/foldloom/static_peers/entry/lookup.py
+++ b/src/foldloom/static_peers/entry/lookup.py
@@ -20,7 +20,7 @@
 from foldloom.static_peers.entry.jobs import JobState, JobTable, Response, problem_response
 from foldloom.verdicts import Problem, may_have_run, not_run
 
-# Milliseconds after which a refused caller should come back. Not measured.
+# Milliseconds after which a refused caller should come back.
 RETRY_AFTER_MS = 500
 # A job that does not run here and may run on another box, now or since it was refused here.
 _MAY_BE_ELSEWHERE = (JobState.FOLLOWING, JobState.WITHDRAWN)
--- a/src/foldloom/static_peers/entry/operators.py
+++ b/src/foldloom/static_peers/entry/operators.py
@@ -28,9 +28,9 @@
 from foldloom.static_peers.entry.jobs import problem_response
 from foldloom.verdicts import Problem, not_run
 
-# Milliseconds to show which version is the newest. Not measured: chosen above two elections.
+# Milliseconds to show which version is the newest: above two elections.
 _BARRIER_TIMEOUT_MS = 1_500
-# Milliseconds for a confirm. Derived: above the commit's own time-out (5,000 ms).
+# Milliseconds for a confirm: above the commit's own time-out (5,000 ms).
 _CONFIRM_TIMEOUT_MS = 6_000
 # Seconds for a confirmed version to come into force here, before a plan is made on it or its
 # confirm is answered. A controller that does not lead learns of a commit by the leader's next
--- a/src/foldloom/static_peers/entry/run.py
+++ b/src/foldloom/static_peers/entry/run.py
@@ -32,9 +32,9 @@
 from foldloom.time_limits import TimeLimit
 from foldloom.verdicts import Problem, Run, may_have_run, not_run
 
-# Milliseconds after which a caller should come back whose job no endpoint took. Not measured.
+# Milliseconds after which a caller should come back whose job no endpoint took.
 _RETRY_AFTER_MS = 500
-# Seconds until a task that certainly did not start is given another slot. Not measured.
+# Seconds until a task that certainly did not start is given another slot.
 _RETRY_PAUSE_S = 0.01
 _SLOT_EXPIRED = "slot-expired"
 _DEADLINE = may_have_run("deadline", "the job did not end in time", status=504)
--- a/src/foldloom/static_peers/entry_role.py
+++ b/src/foldloom/static_peers/entry_role.py
@@ -43,14 +43,12 @@
 from foldloom.tasks import TaskSet
 from foldloom.time_limits import TimeLimit
 
-# Milliseconds for which the manager of a shard is not determined again. Not measured: chosen
-# because it is asked for with each lease, and changes with membership (1,000 ms of silence).
+# Milliseconds for which the manager of a shard is not determined again, because it is asked for
+# with each lease, and changes with membership (1,000 ms of silence).
 _MANAGERS_KEPT_MS = 50.0
-# Seconds between two checks for answers to forget. Not measured: chosen small against their
-# retention.
+# Seconds between two checks for answers to forget: small against their retention.
 _EXPIRE_S = 5.0
-# Heartbeats that say that this box stops, in case some are lost, and seconds between them. Not
-# measured.
+# Heartbeats that say that this box stops, in case some are lost, and seconds between them.
 _LAST_HEARTBEATS = 4
 # Seconds between two of these heartbeats.
 _LAST_HEARTBEATS_STEP_S = 0.05
--- a/src/foldloom/static_peers/membership.py
+++ b/src/foldloom/static_peers/membership.py
@@ -16,8 +16,8 @@
 from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import Settings
 
-# Lives whose answers went to another box that are known. Not measured: chosen above the 93 restarts
-# a day to design for, over the retention.
+# Lives whose answers went to another box that are known: above the 93 restarts a day to design for,
+# over the retention.
 _SUCCESSORS_KEPT = 1_000
 
 
--- a/src/foldloom/static_peers/placement/admission.py
+++ b/src/foldloom/static_peers/placement/admission.py
@@ -11,15 +11,15 @@
 from foldloom.settings import LimitSettings
 from foldloom.static_peers.placement.messages import SlotRefusal, SlotRequest
 
-# Milliseconds, bounds of when a refused caller should come back. Not measured.
+# Milliseconds, bounds of when a refused caller should come back.
 RETRY_MAX_MS = 10_000
 # The lower of the two.
 _RETRY_MIN_MS = 50
-# Share of the time left that the expected wait and run may take. Not measured: chosen below 1
-# because expectations are means.
+# Share of the time left that the expected wait and run may take: below 1 because expectations are
+# means.
 _ADMIT_SHARE = 0.8
-# Mean service times that a task is expected to run. Not measured: chosen because tasks are as long
-# as twice the mean (50 to 500 ms).
+# Mean service times that a task is expected to run, because tasks are as long as twice the mean (50
+# to 500 ms).
 _RUN_MEANS = 2.0
 
 
--- a/src/foldloom/static_peers/placement/ejection.py
+++ b/src/foldloom/static_peers/placement/ejection.py
@@ -14,8 +14,8 @@
 from foldloom.static_peers.placement.messages import SlotReturn
 from foldloom.static_peers.placement.speeds import SpeedTable
 
-# Times its peers' mean, from which a service time counts as a failure. Not measured: chosen above
-# the factor of two between old boxes and new ones.
+# Times its peers' mean, from which a service time counts as a failure: above the factor of two
+# between old boxes and new ones.
 _SICK_RATIO = 4.0
 
 
--- a/src/foldloom/static_peers/placement/health.py
+++ b/src/foldloom/static_peers/placement/health.py
@@ -10,9 +10,9 @@
 
 from typing import NamedTuple
 
-# Failures in a row after which an endpoint is left out. Not measured.
+# Failures in a row after which an endpoint is left out.
 _FAILURES_TO_EJECT = 3
-# Probes in a row that must succeed before it is trusted again. Not measured.
+# Probes in a row that must succeed before it is trusted again.
 _PROBE_SUCCESSES = 2
 
 
--- a/src/foldloom/static_peers/placement/lease_manager.py
+++ b/src/foldloom/static_peers/placement/lease_manager.py
@@ -31,12 +31,12 @@
 from foldloom.static_peers.placement.shards import may_take, shard_names
 from foldloom.tasks import TaskSet
 
-# Seconds between two ticks. Not measured: chosen small against a lease (2,000 ms).
+# Seconds between two ticks: small against a lease (2,000 ms).
 _TICK_S = 0.1
-# Milliseconds in which holders report their leases to a new manager, before it grants. Derived:
-# above a heartbeat (250 ms), by which they learn of it.
+# Milliseconds in which holders report their leases to a new manager, before it grants: above a
+# heartbeat (250 ms), by which they learn of it.
 _SETTLE_MS = 300
-# Milliseconds for which a grant is of use. Not measured: chosen far below a lease.
+# Milliseconds for which a grant is of use: far below a lease.
 _GRANT_TTL_MS = 500
 # Bits of the first lease's id, drawn at random: managers do not share ids, and all of them fit 64
 # bits.
--- a/src/foldloom/static_peers/placement/leased_slots.py
+++ b/src/foldloom/static_peers/placement/leased_slots.py
@@ -30,16 +30,14 @@
 from foldloom.static_peers.placement.shards import shard_names
 from foldloom.static_peers.placement.slots import RESEND_MS, Slot, SlotWaiter
 
-# Seconds between two checks for requests to send again. Not measured.
+# Seconds between two checks for requests to send again.
 _CHECK_S = 0.1
-# Milliseconds without a grant after which a request is sent again while managers change. Derived:
-# a heartbeat (250 ms).
+# Milliseconds without a grant after which a request is sent again while managers change: a
+# heartbeat (250 ms).
 _RESEND_UNSETTLED_MS = 250
-# Milliseconds for which managers count as changing. Not measured: chosen above a silent peer (1,000
-# ms).
+# Milliseconds for which managers count as changing: above a silent peer (1,000 ms).
 _UNSETTLED_MS = 2_500
-# Milliseconds before a lease's end at which its holder gives it up. Not measured: chosen above a
-# message's delay.
+# Milliseconds before a lease's end at which its holder gives it up: above a message's delay.
 _SAFETY_MS = 100
 
 
--- a/src/foldloom/static_peers/placement/retries.py
+++ b/src/foldloom/static_peers/placement/retries.py
@@ -9,9 +9,9 @@
 from foldloom.controllers.config import RESTART_AFTER_ENDPOINT_DEATH, Service
 from foldloom.verdicts import Problem, Run
 
-# Retries that are allowed at the start, before any task has started. Not measured.
+# Retries that are allowed at the start, before any task has started.
 _TOKENS_START = 10.0
-# Retries that can be saved up. Not measured: chosen to bound a storm after a calm time.
+# Retries that can be saved up, to bound a storm after a calm time.
 _TOKENS_MAX = 100.0
 _ENDPOINT_DEATHS = ("worker-lost",)
 # Endpoints that may die under a task before it is given up: it may be what kills them.
--- a/src/foldloom/static_peers/placement/shard.py
+++ b/src/foldloom/static_peers/placement/shard.py
@@ -33,15 +33,15 @@
 from foldloom.static_peers.placement.speeds import SpeedTable
 from foldloom.static_peers.placement.views import ViewTable
 
-# Times its endpoint's mean, after which a task counts as overdue. Not measured: chosen above the
-# spread of tasks (50 to 500 ms).
+# Times its endpoint's mean, after which a task counts as overdue: above the spread of tasks (50 to
+# 500 ms).
 _OVERDUE_RATIO = 6.0
-# Milliseconds before which none counts as overdue. Not measured: chosen as twice the longest task.
+# Milliseconds before which none counts as overdue: twice the longest task.
 _OVERDUE_MIN_MS = 1_000
 # Mean service times of waiting from which a slow slot goes to the oldest job
-# (docs/design/placement.md, point 3). Not measured.
+# (docs/design/placement.md, point 3).
 _LONG_QUEUE_MEANS = 3.0
-# Milliseconds after which a caller should come back if no endpoint may serve. Not measured.
+# Milliseconds after which a caller should come back if no endpoint may serve.
 _NO_ENDPOINT_RETRY_MS = 1_000
 
 
--- a/src/foldloom/static_peers/placement/shares.py
+++ b/src/foldloom/static_peers/placement/shares.py
@@ -13,7 +13,7 @@
 # Slots that a turn gives to a customer of quota 1 (deficit round robin, Shreedhar and Varghese,
 # 1996).
 _QUANTUM = 1.0
-# Weight of a new interval in a customer's rate of grants. Not measured.
+# Weight of a new interval in a customer's rate of grants.
 _RATE_ALPHA = 0.2
 # Grants a millisecond below which a customer counts as idle: one in 10 s.
 _RATE_MIN_PER_MS = 1e-4
--- a/src/foldloom/static_peers/placement/slots.py
+++ b/src/foldloom/static_peers/placement/slots.py
@@ -13,7 +13,7 @@
 from foldloom.static_peers.placement.messages import SlotUse
 
 # Milliseconds after which a job should ask again when no endpoint may serve it, or no grant has
-# come. Not measured: a request is numbered, so a copy of it counts once.
+# come: a request is numbered, so a copy of it counts once.
 RESEND_MS = 3_000
 
 
--- a/src/foldloom/static_peers/placement/speeds.py
+++ b/src/foldloom/static_peers/placement/speeds.py
@@ -9,19 +9,18 @@
 from collections import deque
 from typing import NamedTuple
 
-# Weight of a new task in a mean. Not measured: chosen to average over some 30 tasks of very
-# different sizes.
+# Weight of a new task in a mean, to average over some 30 tasks of very different sizes.
 _ALPHA = 0.03
-# Milliseconds that a task of an unknown service is expected to take. Not measured: chosen within
-# the brief's 50 to 500 ms.
+# Milliseconds that a task of an unknown service is expected to take: within the brief's 50 to 500
+# ms.
 _DEFAULT_MS = 200.0
-# Tasks after which an endpoint's mean counts. Not measured.
+# Tasks after which an endpoint's mean counts.
 _SAMPLES_TO_TRUST = 6
-# Tasks that an endpoint must run again after its mean has become stale. Not measured.
+# Tasks that an endpoint must run again after its mean has become stale.
 _SAMPLES_TO_RENEW = 2
-# Sizes of tasks that are kept of a service. Not measured: enough for shares of 3% and more.
+# Sizes of tasks that are kept of a service: enough for shares of 3% and more.
 _SIZES_KEPT = 200
-# Milliseconds without a task after which a mean is doubted. Not measured.
+# Milliseconds without a task after which a mean is doubted.
 _STALE_MS = 30_000
 
 
