Report crash counts to all boxes, so that the next owner goes on from them

Cause: only the owner counted, and a box learned a count only with the end of a run. A new owner of the zone started at 0, as did the owner of another zone to which the failed job was submitted again.

Change: an owner reports each new count, and the 0 after a normal end, to all boxes with a session, with retransmission until acknowledged. The boxes keep counts as long as an owner does and deliver them with the task.

The simulated poll answers carry births now, which no other test uses.

Left: a count that its owner could not send before it stopped, and a crash while the zone has no owner.

--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -11,6 +11,7 @@
 import itertools
 import secrets
 
+from foldloom.clock import monotonic_ms
 from foldloom.logs import PLACE_LOG
 from foldloom.peers.wire import PeerNetwork
 from foldloom.seed_discovery.fleet.messages import OwnerHeartbeat
@@ -32,6 +33,7 @@
     SubmitRuns,
 )
 from foldloom.seed_discovery.owners.open_job import OpenJob
+from foldloom.seed_discovery.owners.task_histories import TaskHistories
 from foldloom.seed_discovery.owners.withdrawal import (
     Withdrawal,
     log_cancel_outcome,
@@ -63,8 +65,9 @@
         self._timings = timings
         # Random start, so that ends sent to an earlier incarnation of this box match no run here.
         self._deliveries = itertools.count(1 + secrets.randbits(_DELIVERY_BITS))
+        self._histories = TaskHistories()
         self._own_zone_connection = OwnerConnection(
-            view.own.zone, view, network, timings, self._deliveries
+            view.own.zone, view, network, timings, self._deliveries, self._histories
         )
         self._connections: dict[str, OwnerConnection] = {view.own.zone: self._own_zone_connection}
         self._cancels = Cancels(
@@ -84,7 +87,12 @@
         connection = self._connections.get(heartbeat.owner.zone)
         if connection is None:
             connection = OwnerConnection(
-                heartbeat.owner.zone, self._view, self._network, self._timings, self._deliveries
+                heartbeat.owner.zone,
+                self._view,
+                self._network,
+                self._timings,
+                self._deliveries,
+                self._histories,
             )
             self._connections[heartbeat.owner.zone] = connection
         connection.handle_heartbeat(heartbeat, published_version)
@@ -182,6 +190,9 @@
 
     def _on_ends(self, _sender: str, message: RunsEnded) -> EndsNoted:
         connection = self._connections.get(message.zone)
+        now_ms = monotonic_ms()
+        for report in message.crashes:
+            self._histories.note_crashes(report, now_ms)
         for end in message.ends:
             if connection is not None:
                 self._handle_end(connection, end, message.token or connection.owner.token)
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -26,6 +26,7 @@
 from foldloom.seed_discovery.owners.grant import Grant
 from foldloom.seed_discovery.owners.messages import RunOrder, SubmitReply, SubmitStatus
 from foldloom.seed_discovery.owners.open_job import OpenJob
+from foldloom.seed_discovery.owners.task_histories import TaskHistories
 from foldloom.seed_discovery.owners.withdrawal import Withdrawal, withdraw
 from foldloom.settings import TimingSettings
 from foldloom.tasks import TaskSet
@@ -52,6 +53,7 @@
         network: Connections to the other boxes.
         timings: Intervals and timeouts.
         deliveries: Source of rising delivery numbers.
+        histories: What the owners have reported about tasks.
     """
 
     def __init__(
@@ -61,12 +63,14 @@
         network: PeerNetwork,
         timings: TimingSettings,
         deliveries: Iterator[int],
+        histories: TaskHistories,
     ) -> None:
         self.zone = zone
         self.load = ZoneLoad()
         self._view = view
         self._network = network
         self._deliveries = deliveries
+        self._histories = histories
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
         self._batches: dict[str, list[Batch]] = {}
@@ -234,7 +238,9 @@
                 return SubmitReply(SubmitStatus.TAKEN)
             sent_token = owner.token
             left_ms = max(0.0, old_right_end_ms - monotonic_ms())
-            message = batch.message(owner.token, still_open, left_ms)
+            message = self._histories.annotate(
+                batch.message(owner.token, still_open, left_ms), monotonic_ms()
+            )
             batch.note_sent(still_open, owner.token)
             try:
                 reply: SubmitReply = await self._network.request(
--- a/src/foldloom/seed_discovery/owners/crash_records.py
+++ b/src/foldloom/seed_discovery/owners/crash_records.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
 """Crash counts of tasks in one owner's term.
 
-A count is removed when the task ends normally or after ``CRASH_RECORD_TTL_MS``. A new owner learns
-the counts from the jobs' entry boxes.
+A count is removed when the task ends normally or after ``CRASH_RECORD_TTL_MS``. Other owners learn
+it from the entry boxes (:mod:`foldloom.seed_discovery.owners.task_histories`).
 """
 
 from __future__ import annotations
--- a/src/foldloom/seed_discovery/owners/crashed_endpoints.py
+++ b/src/foldloom/seed_discovery/owners/crashed_endpoints.py
@@ -41,6 +41,8 @@
     tasks = [run.task for run in runs] + candidate.lapsed_tasks
     candidate.lapsed_tasks = []
     lifecycle.crashes.note_crash(tasks, bool(candidate.orphans), now_ms)
+    for task in tasks:
+        lifecycle.report_crashes(task)
     _log_crash(endpoint, [(task, lifecycle.crashes.count_of(task)) for task in tasks])
     for run in runs:
         if exceeds_crash_limit(lifecycle.crashes.count_of(run.task)):
--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -35,7 +35,7 @@
 from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.owners.actions import Actions, NotifyAction, StartAction, StopAction
 from foldloom.seed_discovery.owners.crash_records import CrashRecords
-from foldloom.seed_discovery.owners.messages import EndCause, RunEnd
+from foldloom.seed_discovery.owners.messages import EndCause, RunEnd, TaskCrashes
 from foldloom.seed_discovery.owners.started_jobs import StartedJobs
 from foldloom.seed_discovery.owners.tombstones import Tombstones
 from foldloom.seed_discovery.owners.unanswered_starts import UnansweredStarts
@@ -159,9 +159,11 @@
         if cause is EndCause.DONE and not was_stopping and ran_ms:
             self._update_estimates(run, ran_ms)
         self.release_capacity(run)
-        if cause in (EndCause.DONE, EndCause.FAILED):
-            self.crashes.clear(run.task)
         crashes = self.crashes.count_of(run.task)
+        if cause in (EndCause.DONE, EndCause.FAILED) and crashes.crashes:
+            self.crashes.clear(run.task)
+            self.report_crashes(run.task)
+            crashes = self.crashes.count_of(run.task)
         is_retried = (was_stopping and cause is not EndCause.DONE) or (
             is_bound and cause in _CAUSES_OF_BOUND_RETRIES
         )
@@ -183,6 +185,10 @@
         """Notify *holder* of an *end*."""
         self._actions.notify(NotifyAction(holder, end))
 
+    def report_crashes(self, task: TaskId) -> None:
+        """Report the crash count of *task* to all boxes."""
+        self._actions.report_crashes(TaskCrashes(task, self.crashes.count_of(task)))
+
     def release_capacity(self, run: Run) -> None:
         """Release the capacity allocated to *run*."""
         candidate = self._candidates.get(run.endpoint)
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -12,7 +12,7 @@
 
 from foldloom.peers.messages import register
 from foldloom.seed_discovery.fleet.messages import OwnerRecord
-from foldloom.seed_discovery.jobs.spec import Demand, Placement, RunId
+from foldloom.seed_discovery.jobs.spec import Demand, Placement, RunId, TaskId
 from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId, GroupSummary
 
@@ -180,15 +180,27 @@
     crashes: CrashCount = CrashCount()
 
 
+class TaskCrashes(NamedTuple):
+    """Crash count of a task; 0 after it has ended normally."""
+
+    task: TaskId
+    crashes: CrashCount
+
+
 class RunsEnded(NamedTuple):
-    """Ends of runs, from an owner to a box; retransmitted until acknowledged.
+    """Ends of runs and crash counts, from an owner to a box; retransmitted until acknowledged.
 
-    ``token``: the owner's token; 0 from the previous release.
+    Args:
+        zone: The owner's zone.
+        ends: Ends of runs that the box has delivered.
+        token: The owner's token; 0 from the previous release.
+        crashes: New crash counts, of any box's tasks.
     """
 
     zone: str
     ends: list[RunEnd]
     token: int = 0
+    crashes: tuple[TaskCrashes, ...] = ()
 
 
 class EndsNoted(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""An owner's sessions with entry boxes, and the run ends still to be sent to each box.
+"""An owner's sessions with entry boxes, and the notices still to be sent to each box.
 
 There is one session per incarnation of a box. A box echoes the sending time of each heartbeat in
 its acknowledgement, and the owner may run the box's tasks for the session time from that moment, by
@@ -15,13 +15,21 @@
 
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.peers.wire import PeerNetwork
-from foldloom.seed_discovery.owners.messages import RunEnd, RunsEnded, SessionBegan
+from foldloom.seed_discovery.owners.messages import (
+    RunEnd,
+    RunsEnded,
+    SessionBegan,
+    TaskCrashes,
+)
 from foldloom.seed_discovery.scheduling.runs import HolderId
 
 # Retransmission timeout: well above a round trip between zones.
 _ACK_TIMEOUT_MS = 150
 # Bounds the first message after a partition to some tens of kilobytes.
-_ENDS_PER_MESSAGE_MAX = 200
+_NOTICES_PER_MESSAGE_MAX = 200
+
+Notice = RunEnd | TaskCrashes
+"""What an owner tells a box: the end of one of the box's runs, or a crash count of any task."""
 
 
 class Session:
@@ -49,36 +57,41 @@
         self._token = token
         self._network = network
         self._must_announce = is_renewed_session
-        self._ends: list[RunEnd] = []
-        self._has_ends = asyncio.Event()
+        self._notices: list[Notice] = []
+        self._has_notices = asyncio.Event()
 
-    def queue_end(self, end: RunEnd) -> None:
-        """Queue a run's end for sending to the box."""
-        self._ends.append(end)
-        self._has_ends.set()
+    def queue(self, notice: Notice) -> None:
+        """Queue a notice for sending to the box."""
+        self._notices.append(notice)
+        self._has_notices.set()
 
     async def run(self) -> None:
-        """Send queued ends with retransmission, after announcing a renewed session."""
+        """Send queued notices with retransmission, after announcing a renewed session."""
         while self._must_announce:
             try:
-                message = SessionBegan(self._zone, self._token)
-                await self._network.request(self.holder.box, message, _ACK_TIMEOUT_MS)
+                announcement = SessionBegan(self._zone, self._token)
+                await self._network.request(self.holder.box, announcement, _ACK_TIMEOUT_MS)
                 self._must_announce = False
             except PeerUnreachableError:
                 # Retransmit at once: no end may be sent before the acknowledgement.
                 continue
         while True:
-            await self._has_ends.wait()
-            ends = self._ends[:_ENDS_PER_MESSAGE_MAX]
+            await self._has_notices.wait()
+            notices = self._notices[:_NOTICES_PER_MESSAGE_MAX]
+            message = RunsEnded(
+                self._zone,
+                [notice for notice in notices if isinstance(notice, RunEnd)],
+                self._token,
+                tuple(notice for notice in notices if isinstance(notice, TaskCrashes)),
+            )
             try:
-                notice = RunsEnded(self._zone, ends, self._token)
-                await self._network.request(self.holder.box, notice, _ACK_TIMEOUT_MS)
+                await self._network.request(self.holder.box, message, _ACK_TIMEOUT_MS)
             except PeerUnreachableError:
-                # Retransmit, together with ends queued in the meantime.
+                # Retransmit, together with notices queued in the meantime.
                 continue
-            del self._ends[: len(ends)]
-            if not self._ends:
-                self._has_ends.clear()
+            del self._notices[: len(notices)]
+            if not self._notices:
+                self._has_notices.clear()
 
 
 class ExpiredSession(NamedTuple):
@@ -144,7 +157,12 @@
         """Queue a run's end for *holder*; dropped if there is no session."""
         session = self._sessions.get(holder)
         if session is not None:
-            session.queue_end(end)
+            session.queue(end)
+
+    def queue_for_all(self, notice: TaskCrashes) -> None:
+        """Queue *notice* for every box with a session."""
+        for session in self._sessions.values():
+            session.queue(notice)
 
     def end_lapsed(self, now_ms: float) -> list[ExpiredSession]:
         """End and return the sessions that have expired."""
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -37,6 +37,7 @@
 from foldloom.seed_discovery.owners.reports import orphans_to_stop, reconcile
 from foldloom.seed_discovery.owners.stealing import WorkStealing
 from foldloom.seed_discovery.owners.stragglers import handle_stragglers
+from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.placing import place
 from foldloom.seed_discovery.scheduling.ranking import Tier, tier_of
@@ -98,6 +99,10 @@
         """Return the current run of *task*, if any."""
         return self._lifecycle.get(task)
 
+    def crashes_of(self, task: TaskId) -> CrashCount:
+        """Return the number of endpoint crashes during runs of *task*."""
+        return self._lifecycle.crashes.count_of(task)
+
     # Requests from entry boxes.
 
     def submit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
--- a/tests/models/standing_boxes.py
+++ b/tests/models/standing_boxes.py
@@ -348,7 +348,10 @@
             if result.outcome is not CallOutcome.DONE or result.ended or monotonic_ms() >= end_ms:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
-        answer = PollReply(result.outcome, int(result.clock_ms), result.active, result.ended)
+        born_ms = self.births.get(endpoint, 0)
+        answer = PollReply(
+            result.outcome, int(result.clock_ms), result.active, result.ended, born_ms=born_ms
+        )
         if endpoint not in self.trouble.mute:
             self._deliver_reply(context, box, endpoint, reply, answer)
 
--- a/tests/test_owners_messages.py
+++ b/tests/test_owners_messages.py
@@ -8,24 +8,44 @@
 
 from foldloom.peers.messages import Frame, decode_body, encode_body, kind_of
 from foldloom.seed_discovery.jobs.spec import RunId, TaskId
-from foldloom.seed_discovery.owners.messages import CancelJob, EndCause, RunEnd, RunsEnded
+from foldloom.seed_discovery.owners.messages import (
+    CancelJob,
+    EndCause,
+    RunEnd,
+    RunsEnded,
+    TaskCrashes,
+)
+from foldloom.seed_discovery.scheduling.crashes import CrashCount
 
 _JOB = "a" * 16
 _END = RunEnd(RunId(TaskId(_JOB, 0, 0, 0), 1), EndCause.DONE)
+_CRASHES = TaskCrashes(TaskId(_JOB, 0, 0, 0), CrashCount(2, 1))
 
 
 class TestReleaseBefore:
-    """The previous release sends no token in either message and no delivery in a cancel."""
+    """Previous releases send no token, no delivery in a cancel, and no crash counts."""
 
     @pytest.mark.parametrize(
-        ("message", "fields_before"), [(CancelJob(_JOB, 7, 3), 1), (RunsEnded("z", [_END], 7), 2)]
+        ("message", "fields_before", "absent"),
+        [
+            (CancelJob(_JOB, 7, 3), 1, (0, 0)),
+            (RunsEnded("z", [_END], 7, (_CRASHES,)), 2, (0, ())),
+            (RunsEnded("z", [_END], 7, (_CRASHES,)), 3, ((),)),
+        ],
     )
     def test_its_messages_are_read(
-        self, message: CancelJob | RunsEnded, fields_before: int
+        self, message: CancelJob | RunsEnded, fields_before: int, absent: tuple[object, ...]
     ) -> None:
-        """Missing fields are read as 0."""
+        """Missing fields are read as 0 or empty."""
         fields = msgspec.msgpack.decode(encode_body(message))
         shorter = msgspec.Raw(msgspec.msgpack.encode(fields[:fields_before]))
         read = decode_body(Frame(kind_of(message), 0, 0, 0, shorter))
         assert read[:fields_before] == message[:fields_before]
-        assert set(read[fields_before:]) == {0}
+        assert read[fields_before:] == absent
+
+    def test_it_reads_the_end_of_a_run(self) -> None:
+        """A release that does not know the last field reads the others."""
+        fields = msgspec.msgpack.decode(encode_body(RunsEnded("z", [_END], 7)))
+        longer = msgspec.Raw(msgspec.msgpack.encode([*fields, ["unknown"]]))
+        frame = Frame(kind_of(RunsEnded("z", [])), 0, 0, 0, longer)
+        assert decode_body(frame) == RunsEnded("z", [_END], 7)
--- a/tests/test_owners_sessions.py
+++ b/tests/test_owners_sessions.py
@@ -15,13 +15,16 @@
     RunEnd,
     RunsEnded,
     SessionBegan,
+    TaskCrashes,
 )
 from foldloom.seed_discovery.owners.sessions import Sessions
+from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.runs import HolderId
 
 _HOLDER = HolderId("e1", 1)
 _TOKEN = 7
 _SESSION_MS = 400.0
+_TASK = TaskId("a" * 16, 0, 0, 0)
 
 
 class _Network:
@@ -95,3 +98,23 @@
             assert network.received == []
 
         _run(play())
+
+
+class TestCrashReports:
+    """Crash counts go to all boxes: any of them may deliver the task to another owner."""
+
+    def test_every_box_is_told(self) -> None:
+        """A count reaches each box once, also after a lost message."""
+
+        async def play() -> None:
+            network = _Network(lost=1)
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            sessions.grant(HolderId("e2", 1), 0.0)
+            report = TaskCrashes(_TASK, CrashCount(1, 1))
+            sessions.queue_for_all(report)
+            await asyncio.sleep(0.01)
+            sessions.close()
+            assert network.received == [RunsEnded("z", [], _TOKEN, (report,))] * 2
+
+        _run(play())
