Own interface: do not count evicted responses as retained

Seen (listed, by a trial): with room for two responses, six finished jobs answered 410 once and 200 five times, so retained_jobs_max limited nothing but one response; the memory of a long-running box is bounded by retained_bytes_max and the retention time only.

Cause: an evicted response stayed in _retained_sizes with size 0, was counted, and was the first to be evicted again. Change: the evicted one leaves; the order of expiry has a list of its own, since evicted jobs must still expire (a resubmission within the retention time answers 410 and runs nothing). Ruled out: dropping the job with its response.

--- a/src/foldloom/static_peers/entry/jobs.py
+++ b/src/foldloom/static_peers/entry/jobs.py
@@ -135,10 +135,13 @@
 class JobTable:
     """All jobs of this box.
 
+    A finished job is kept for the retention time even if its response is evicted, so that a
+    resubmission does not run again.
+
     Args:
         retention_ms: Retention time of a finished job.
-        jobs_max: Number of retained jobs above which the oldest response is evicted.
-        bytes_max: Total size of retained responses above which the oldest are evicted.
+        jobs_max: Maximum number of retained responses; the oldest are evicted.
+        bytes_max: Maximum total size of retained responses; the oldest are evicted.
         metrics: Gauges.
     """
 
@@ -148,6 +151,8 @@
         self._bytes_max = bytes_max
         self._metrics = metrics
         self._jobs: dict[str, Job] = {}
+        # Finished jobs, the first to expire first; the sizes are of those with a retained response.
+        self._finished: dict[str, None] = {}
         self._retained_sizes: dict[str, int] = {}
         self._retained_bytes = 0
         self._running = 0
@@ -166,7 +171,7 @@
         """Create the job of *submission*, with an unused attempt number."""
         previous = self._jobs.get(submission)
         attempt = 1 if previous is None else previous.attempt + 1
-        self._release_bytes(submission)
+        self._forget_response(submission)
         job = Job(submission, digest, attempt)
         self._jobs[submission] = job
         return job
@@ -182,6 +187,7 @@
             self._running -= 1
         job.expires_ms = monotonic_ms() + self._retention_ms
         job.finish(state, response)
+        self._finished[job.submission] = None
         self._retained_sizes[job.submission] = len(response.body)
         self._retained_bytes += len(response.body)
         self._evict_over_limits()
@@ -207,29 +213,23 @@
     def expire(self) -> None:
         """Remove the jobs and inherited responses whose retention time has passed."""
         now_ms = monotonic_ms()
-        for submission in list(self._retained_sizes):
+        for submission in list(self._finished):
             if self._jobs[submission].expires_ms > now_ms:
                 break
-            self._release_bytes(submission)
+            self._forget_response(submission)
             del self._jobs[submission]
         for key in [key for key, (_, expires) in self._inherited.items() if expires <= now_ms]:
             del self._inherited[key]
 
-    def _release_bytes(self, submission: str) -> None:
+    def _forget_response(self, submission: str) -> None:
+        self._finished.pop(submission, None)
         self._retained_bytes -= self._retained_sizes.pop(submission, 0)
 
     def _evict_over_limits(self) -> None:
         """Over a limit, replace the oldest responses by "answer expired"; the jobs remain."""
-        for submission in list(self._retained_sizes):
-            if (
-                len(self._retained_sizes) <= self._jobs_max
-                and self._retained_bytes <= self._bytes_max
-            ):
-                return
+        while len(self._retained_sizes) > self._jobs_max or self._retained_bytes > self._bytes_max:
+            submission = next(iter(self._retained_sizes))
+            self._retained_bytes -= self._retained_sizes.pop(submission)
             job = self._jobs[submission]
             if job.state is JobState.DONE:
                 job.response = problem_response(submission, "", _ANSWER_EXPIRED)
-            self._retained_bytes -= self._retained_sizes[submission]
-            self._retained_sizes[submission] = 0
-            if self._retained_bytes <= self._bytes_max:
-                return
