Platform: reject an empty key that is given twice

Seen (listed, by reading): the body {"":1,"":2} was accepted; other duplicate keys are rejected with 400. Cause: find_duplicate_key returned "" for "no duplicate", and "" is a valid key. Tests: two new rows of TestJob.test_refused_by_name failed before; one more, of a known key, passed before.

--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -56,6 +56,10 @@
         ("body", "status", "named"),
         [
             (b"{", 400, "truncated"),
+            (_job()[:-1] + b',"spec":"t"}', 400, "spec"),
+            # Guards against an empty key given twice, taken for "no key is given twice".
+            (_job()[:-1] + b',"":1,"":2}', 400, "(empty key)"),
+            (b'{"spec":"s","phases":[{"count":2,"":1,"":2}]}', 400, "(empty key)"),
             (_job({"count": 0}), 400, "phases"),
             (_job({"count": 1_000_000}), 400, "phases"),
             (_job({"cpu": -1}), 400, "cpu"),
