--- a/src/foldloom/logs.py
+++ b/src/foldloom/logs.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import atexit
 import os
 import sys
 import threading
@@ -208,4 +209,6 @@
         descriptor = os.open(Path(settings.file), flags, 0o644)
     handler = BatchHandler(descriptor, level, settings.format, box)
     handler.push_application()
+    # The writer is a daemon thread: without this, the lines queued last would be lost.
+    atexit.register(handler.close)
     return handler
