Tests: wait for the connection instead of a fixed time before a request

Cause, in the test: it slept 0.5 s and took the connection for open. A message that is sent before is lost, by design, and the stand-in then waits for it for good. Change: it sends messages until one arrives, then makes its request.

--- a/tests/test_owners_late_replies.py
+++ b/tests/test_owners_late_replies.py
@@ -32,6 +32,7 @@
 from foldloom.seed_discovery.owners.messages import (
     CancelJob,
     Cancelled,
+    EndsNoted,
     RunOrder,
     SubmitReply,
     SubmitRuns,
@@ -50,8 +51,9 @@
 _QUEUE = Queue("q", "host", "/", "svc", 0, 3, 1_500, 1.6, 60)
 _E1 = HolderId("e1", 1)
 _E2 = HolderId("e2", 1)
-# Messages sent before a peer on loopback is connected are lost.
-_CONNECT_S = 0.5
+# Interval of messages to a peer until one arrives. Those sent before the connection is open are
+# lost, and how long that takes depends on the load.
+_CONNECT_CHECK_MS = 50
 # Time-to-live of a delivery, just above its reply timeout.
 _DELIVERY_TTL_MS = 151.0
 
@@ -235,16 +237,15 @@
             router.bind(f"tcp://{asked}")
             message = CancelJob(_JOB, 1, 1)
             try:
-                async with _running_network(own, 1, asked) as first:
+                async with _connected_network(own, 1, asked, router) as first:
                     asking = asyncio.create_task(first.request(asked, message, 300))
-                    before = decode_envelope((await router.recv_multipart())[-1])
+                    number = (await _receive_request(router)).id
                     await asyncio.gather(asking, return_exceptions=True)
                 reply = Cancelled(has_started=False)
-                number = before.frames[0].id
                 frame = Frame(kind_of(reply), 0, number, 1_000, encode_body(reply))
-                async with _running_network(own, 2, asked) as second:
+                async with _connected_network(own, 2, asked, router) as second:
                     asking = asyncio.create_task(second.request(asked, message, 500))
-                    await router.recv_multipart()
+                    await _receive_request(router)
                     dealer.connect(f"tcp://{own}")
                     late = Envelope(asked, 7, int(monotonic_ms()), [frame])
                     await dealer.send(encode_envelope(late))
@@ -256,18 +257,31 @@
 
 
 @contextlib.asynccontextmanager
-async def _running_network(box: str, incarnation: int, peer: str) -> AsyncIterator[PeerNetwork]:
-    """Run an incarnation of a box that is connected to *peer*."""
+async def _connected_network(
+    box: str, incarnation: int, peer: str, router: zmq.asyncio.Socket
+) -> AsyncIterator[PeerNetwork]:
+    """Run an incarnation of a box that is connected to *peer*, which receives with *router*."""
     network = PeerNetwork(_seed_settings(box), incarnation, Metrics())
     await network.start()
     network.add_peer(peer)
-    await asyncio.sleep(_CONNECT_S)
     try:
+        is_connected = False
+        while not is_connected:
+            network.send(peer, EndsNoted())
+            is_connected = bool(await router.poll(_CONNECT_CHECK_MS))
         yield network
     finally:
         await network.stop()
 
 
+async def _receive_request(router: zmq.asyncio.Socket) -> Frame:
+    """Return the next request; messages without a request id are skipped."""
+    while True:
+        envelope = decode_envelope((await router.recv_multipart())[-1])
+        if envelope.frames[0].id:
+            return envelope.frames[0]
+
+
 def _seed_settings(box: str) -> Settings:
     return settings_from(
         {
