Tests: print what test_runs_start_again_soon measured

It prints the status, the number of starts, the time until the last one and the longest pauses of all processes now; the checks and bounds are the same.

--- a/tests/platform_system.py
+++ b/tests/platform_system.py
@@ -316,7 +316,7 @@
                 return
             await asyncio.sleep(0.05)
         raise AssertionError(
-            f"condition not met within {_WAIT_S} s: {description}; {self._describe_pauses()}"
+            f"condition not met within {_WAIT_S} s: {description}; {self.describe_pauses()}"
         )
 
     async def delays(self) -> int:
@@ -325,7 +325,7 @@
         overdue = [self.events(name, "endpoint.suspected") for name in self.entries]
         return len(self._pauses_logged()) + sum(map(len, overdue))
 
-    def _describe_pauses(self) -> str:
+    def describe_pauses(self) -> str:
         """Describe the longest pauses and the boxes with empty logs."""
         longest = ", ".join(
             f"{name} {pause.paused_ms} ms ({pause.processor_ms} ms of CPU time)"
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -56,9 +56,16 @@
             silenced_s = time.monotonic()
             for endpoint in system.endpoints:
                 endpoint.silence_open_connections()
-            assert (await job).status == 200
-            assert starts_before + 2 <= system.sightings.starts.total() <= starts_before + 4
-            assert system.sightings.newest_start_s - silenced_s < _RECOVERY_TIMEOUT_S
+            answer = await job
+            starts = system.sightings.starts.total() - starts_before
+            recovery_s = system.sightings.newest_start_s - silenced_s
+            measured = (
+                f"status {answer.status} after {answer.took_ms:.0f} ms, {starts} starts, the last "
+                f"{recovery_s:.3f} s after the silence; {system.describe_pauses()}"
+            )
+            assert answer.status == 200, measured
+            assert 2 <= starts <= 4, measured
+            assert recovery_s < _RECOVERY_TIMEOUT_S, measured
 
         play(scenario, tmp_path)
 
