--- a/src/foldloom/seed_discovery/scheduling/estimates.py
+++ b/src/foldloom/seed_discovery/scheduling/estimates.py
@@ -9,9 +9,7 @@
 import math
 
 # Weight of a new task: the means follow a change within about 20 tasks.
-_EWMA_WEIGHT_MIN = 0.05
-# The weight of the n-th task is at least 1 / (_WARM_UP_RUNS + n).
-_WARM_UP_RUNS = 20
+_EWMA_WEIGHT = 0.05
 # Initial variance of logarithms, for an error of about 40%.
 _INITIAL_VARIANCE = 0.16
 # Minimum variance of logarithms, so that neither estimate gets all the weight.
@@ -21,14 +19,13 @@
 class _QueueStatistics:
     """Logarithmic statistics of a queue's task durations and of the error of callers' estimates."""
 
-    __slots__ = ("bias", "guess_variance", "mean", "runs", "variance")
+    __slots__ = ("bias", "guess_variance", "mean", "variance")
 
     def __init__(self, log_work: float) -> None:
         self.mean = log_work
         self.variance = _INITIAL_VARIANCE
         self.bias = 0.0
         self.guess_variance = _INITIAL_VARIANCE
-        self.runs = 0
 
 
 class Estimates:
@@ -60,20 +57,18 @@
             return
         log_work = math.log(work_ms)
         statistics = self._queues.setdefault(queue, _QueueStatistics(log_work))
-        statistics.runs += 1
-        weight = max(_EWMA_WEIGHT_MIN, 1 / (_WARM_UP_RUNS + statistics.runs))
         deviation = log_work - statistics.mean
-        statistics.mean += weight * deviation
+        statistics.mean += _EWMA_WEIGHT * deviation
         statistics.variance = max(
             _VARIANCE_MIN,
-            statistics.variance + weight * (deviation * deviation - statistics.variance),
+            statistics.variance + _EWMA_WEIGHT * (deviation * deviation - statistics.variance),
         )
         if caller_estimate_ms <= 0:
             return
         caller_error = math.log(caller_estimate_ms) - statistics.bias - log_work
-        statistics.bias += weight * caller_error
+        statistics.bias += _EWMA_WEIGHT * caller_error
         statistics.guess_variance = max(
             _VARIANCE_MIN,
             statistics.guess_variance
-            + weight * (caller_error * caller_error - statistics.guess_variance),
+            + _EWMA_WEIGHT * (caller_error * caller_error - statistics.guess_variance),
         )
