--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -136,13 +136,8 @@
         if end is not None and order.is_resumed and end.cause is EndCause.DONE:
             self._lifecycle.notify(holder, end._replace(delivery=order.delivery))
             return
-        attempt = order.attempt
-        if tombstone is not None:
-            attempt = max(attempt, tombstone.attempt + 1)
-        if not order.is_resumed:
-            attempt = max(attempt, self._lifecycle.unanswered_starts.next_attempt(task))
         state = RunState.RECOVERING if order.is_resumed else RunState.QUEUED
-        run = Run(task, attempt, spec, state, now_ms)
+        run = Run(task, self._next_attempt(task, order), spec, state, now_ms)
         run.holders[holder] = order.delivery
         run.recovery_bound = bound
         self._lifecycle.add(run)
@@ -151,6 +146,16 @@
         if not is_adopted and state is RunState.QUEUED:
             self._lifecycle.queue(run, now_ms)
 
+    def _next_attempt(self, task: TaskId, order: RunOrder) -> int:
+        """Return the attempt of a run delivered by *order*: above those known to this owner."""
+        attempt = order.attempt
+        tombstone = self._lifecycle.tombstones.get(task)
+        if tombstone is not None:
+            attempt = max(attempt, tombstone.attempt + 1)
+        if order.is_resumed:
+            return attempt
+        return max(attempt, self._lifecycle.unanswered_starts.next_attempt(task))
+
 
 def newest_delivery(message: SubmitRuns) -> int:
     """Return the highest delivery number in *message*, 0 if it has none."""
--- a/src/foldloom/seed_discovery/owners/recovery.py
+++ b/src/foldloom/seed_discovery/owners/recovery.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
-from foldloom.seed_discovery.scheduling.runs import RecoveryBound, Run
+from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
+from foldloom.seed_discovery.owners.messages import EndCause
+from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
+from foldloom.seed_discovery.scheduling.runs import RecoveryBound, Run, RunState
 
 
 def recovery_bound(now_ms: float, old_right_ms: float, run_expiry_ms: float) -> RecoveryBound:
@@ -39,3 +42,29 @@
     if not is_catalog_complete:
         return False
     return all(last_polled_ms > bound.reports_after_ms for last_polled_ms in polled_ms)
+
+
+def end_lost(
+    lifecycle: RunLifecycle,
+    candidates: Mapping[str, ZoneEndpoint],
+    last_polled_ms: Mapping[str, float],
+    is_catalog_complete: bool,
+    now_ms: float,
+) -> None:
+    """Finish the recovering runs that are certainly on no endpoint.
+
+    Args:
+        lifecycle: The runs.
+        candidates: The zone's endpoints by id.
+        last_polled_ms: When each endpoint was polled for its latest report.
+        is_catalog_complete: Whether these include every endpoint that the earlier owner used.
+        now_ms: Own monotonic clock.
+    """
+    for run in lifecycle.in_state(RunState.RECOVERING):
+        polled_ms = [
+            last_polled_ms.get(endpoint, 0.0)
+            for endpoint, candidate in candidates.items()
+            if candidate.record.service == run.spec.service
+        ]
+        if is_lost(run, polled_ms, is_catalog_complete, now_ms):
+            lifecycle.finish(run, EndCause.LOST, "", now_ms)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -17,33 +17,28 @@
 from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.actions import Actions, StealAction, StopAction
 from foldloom.seed_discovery.owners.admission import Admission
-from foldloom.seed_discovery.owners.crashed_endpoints import (
-    end_runs_over_crash_limit,
-    may_have_crashed,
-    note_crash,
-)
+from foldloom.seed_discovery.owners.crashed_endpoints import end_runs_over_crash_limit, note_crash
 from foldloom.seed_discovery.owners.deliveries import Deliveries, newest_delivery
+from foldloom.seed_discovery.owners.lease_expiry import finish_expired, has_overdue_stop
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.owners.loads import zone_load
 from foldloom.seed_discovery.owners.messages import (
-    EndCause,
-    RunEnd,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
 )
 from foldloom.seed_discovery.owners.orders import handle_start_outcome, handle_stop_outcome
-from foldloom.seed_discovery.owners.recovery import is_lost
+from foldloom.seed_discovery.owners.recovery import end_lost
 from foldloom.seed_discovery.owners.reports import orphans_to_stop, reconcile
-from foldloom.seed_discovery.owners.stealing import WorkStealing
+from foldloom.seed_discovery.owners.stealing import WorkStealing, release_runs
 from foldloom.seed_discovery.owners.stragglers import handle_stragglers
+from foldloom.seed_discovery.owners.unattainable import retire_unattainable
 from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.placing import place
-from foldloom.seed_discovery.scheduling.ranking import Tier, tier_of
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId, GroupSummary
 from foldloom.seed_discovery.scheduling.run_queue import RunQueue
-from foldloom.seed_discovery.scheduling.runs import HolderId, Run, RunState
+from foldloom.seed_discovery.scheduling.runs import HolderId, Run
 
 # Groups of queued runs that one offer to other zones lists, the next in order first.
 OFFERED_GROUPS_MAX = 24
@@ -155,18 +150,7 @@
 
         Their boxes are notified to deliver them to the owner of *zone*. Runs of bound tasks stay.
         """
-        group = self.run_queue.get(key)
-        if group is None:
-            return 0
-        bound_tasks = self._unanswered_starts.bound_endpoints
-        movable = [run for task, run in group.queued.items() if task not in bound_tasks]
-        # Taken from the tail: the head of the queue starts here next.
-        released = movable[-runs:]
-        for run in released:
-            has_started = run.task.job_id in self._lifecycle.started
-            end = RunEnd(run.run_id, EndCause.MOVED, moved_to=zone, has_started=has_started)
-            self._lifecycle.retire(run, end, now_ms)
-        return len(released)
+        return release_runs(self._lifecycle, key, runs, zone, now_ms)
 
     def handle_steal_reply(self, action: StealAction, granted: int) -> None:
         """Record that the owner of the other zone granted *granted* of the requested runs."""
@@ -239,31 +223,13 @@
     def handle_lease_expiry(self, endpoint: str, now_ms: float) -> None:
         """Finish the runs on *endpoint*: every lease there has certainly expired."""
         candidate = self._candidates.get(endpoint)
-        if candidate is None:
-            return
-        candidate.has_current_report = False
-        candidate.orphans.clear()
-        for task in candidate.resources.tasks:
-            run = self._lifecycle.get(task)
-            if run is None or run.endpoint != endpoint:
-                candidate.resources.release(task)
-                continue
-            if not candidate.has_crashed and may_have_crashed(run, endpoint):
-                candidate.lapsed_tasks.append(task)
-            if run.state is RunState.STARTING:
-                self._note_unanswered_start(run.run_id, endpoint, now_ms)
-            self._lifecycle.finish(run, EndCause.LAPSED, "", now_ms)
+        if candidate is not None:
+            finish_expired(self._lifecycle, candidate, now_ms)
 
     def has_overdue_stop(self, endpoint: str, before_ms: float) -> bool:
         """Return whether a run there has been stopping since before *before_ms*."""
         candidate = self._candidates.get(endpoint)
-        if candidate is None:
-            return False
-        runs = (self._lifecycle.get(task) for task in candidate.resources.tasks)
-        return any(
-            run is not None and run.state is RunState.STOPPING and run.since_ms < before_ms
-            for run in runs
-        )
+        return candidate is not None and has_overdue_stop(self._lifecycle, candidate, before_ms)
 
     def report(self, report: EndpointReport, now_ms: float) -> None:
         """Reconcile the runs with an endpoint's report."""
@@ -283,7 +249,7 @@
     ) -> None:
         """Handle the outcome of a start order."""
         if outcome is CallOutcome.UNKNOWN:
-            self._note_unanswered_start(run_id, endpoint, now_ms)
+            self._lifecycle.note_unanswered_start(run_id, endpoint, now_ms)
         elif outcome is not CallOutcome.DONE:
             self._unanswered_starts.discard(run_id, endpoint)
         handle_start_outcome(self._lifecycle, self._candidates, run_id, endpoint, outcome, now_ms)
@@ -309,10 +275,16 @@
 
     def tick(self, now_ms: float) -> None:
         """Apply timeouts: lost and overdue runs, orphaned runs, expired records."""
-        self._end_lost(now_ms)
+        end_lost(
+            self._lifecycle,
+            self._candidates,
+            self._last_polled_ms,
+            self._is_catalog_complete,
+            now_ms,
+        )
         for endpoint, run_id in orphans_to_stop(self._candidates, now_ms):
             self.actions.stop(StopAction(run_id, endpoint))
-        self._retire_unattainable(now_ms)
+        retire_unattainable(self._lifecycle, now_ms)
         handle_stragglers(self._lifecycle, now_ms)
         for candidate in self._candidates.values():
             candidate.resources.expire_reservations(now_ms)
@@ -337,33 +309,3 @@
             self._lifecycle.start(run, endpoint, now_ms)
         for request in placing.steal_requests:
             self.actions.steal(StealAction(*request))
-
-    def _note_unanswered_start(self, run_id: RunId, endpoint: str, now_ms: float) -> None:
-        run, candidate = self._lifecycle.get(run_id.task), self._candidates.get(endpoint)
-        service = None
-        if run is not None:
-            service = run.spec.service
-        elif candidate is not None:
-            service = candidate.record.service
-        self._unanswered_starts.add(run_id, endpoint, service, now_ms)
-
-    def _retire_unattainable(self, now_ms: float) -> None:
-        """Retire queued runs of jobs that can no longer complete in time."""
-        for group in self.run_queue.groups:
-            if tier_of(group, now_ms) is not Tier.UNATTAINABLE:
-                continue
-            has_started = group.spec.job_id in self._lifecycle.started
-            for run in list(group.queued.values()):
-                end = RunEnd(run.run_id, EndCause.UNATTAINABLE, has_started=has_started)
-                self._lifecycle.retire(run, end, now_ms)
-
-    def _end_lost(self, now_ms: float) -> None:
-        """Finish the recovering runs that are certainly on no endpoint."""
-        for run in self._lifecycle.in_state(RunState.RECOVERING):
-            polled_ms = [
-                self._last_polled_ms.get(endpoint, 0.0)
-                for endpoint, candidate in self._candidates.items()
-                if candidate.record.service == run.spec.service
-            ]
-            if is_lost(run, polled_ms, self._is_catalog_complete, now_ms):
-                self._lifecycle.finish(run, EndCause.LOST, "", now_ms)
--- a/src/foldloom/seed_discovery/owners/stealing.py
+++ b/src/foldloom/seed_discovery/owners/stealing.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
 """Work stealing from other zones: their offers and loads, and capacity reserved for their runs.
 
-An owner with free capacity requests runs from the owner of another zone; the runs' entry box then
-submits them here.
+An owner with free capacity requests runs from the owner of another zone, which releases them; the
+runs' entry box then submits them here.
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 
 from foldloom.seed_discovery.fleet.messages import ZoneLoad
 from foldloom.seed_discovery.owners.actions import StealAction
+from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
+from foldloom.seed_discovery.owners.messages import EndCause, RunEnd
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.placing import Reservation
 from foldloom.seed_discovery.scheduling.remote_groups import (
@@ -72,3 +74,22 @@
         candidate = self._candidates.get(reservation.endpoint)
         if candidate is not None:
             candidate.resources.cancel_reservation(reservation.number)
+
+
+def release_runs(lifecycle: RunLifecycle, key: GroupId, runs: int, zone: str, now_ms: float) -> int:
+    """Hand up to *runs* queued runs of a group to *zone*; return the number handed over.
+
+    Runs of bound tasks stay.
+    """
+    group = lifecycle.run_queue.get(key)
+    if group is None:
+        return 0
+    bound_tasks = lifecycle.unanswered_starts.bound_endpoints
+    movable = [run for task, run in group.queued.items() if task not in bound_tasks]
+    # Taken from the tail: the head of the queue starts here next.
+    released = movable[-runs:]
+    for run in released:
+        has_started = run.task.job_id in lifecycle.started
+        end = RunEnd(run.run_id, EndCause.MOVED, moved_to=zone, has_started=has_started)
+        lifecycle.retire(run, end, now_ms)
+    return len(released)
