--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -8,10 +8,12 @@
 
 import msgspec
 import pytest
+from aiohttp.test_utils import make_mocked_request
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bodies import decode_active_runs, decode_ended_runs, read_report, task_of, task_text
+from clients import client_timeout_ms
 from documents import parse_document, read_queues
 from foldloom.peers.messages import Frame, decode_body, encode_body, kind_of
 from foldloom.seed_discovery.endpoints.calls import EndKind
@@ -22,6 +24,7 @@
     decode_endpoints,
     encode_endpoints,
 )
+from foldloom.seed_discovery.jobs.queues import Queue
 from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from job_bodies import parse_job
 
@@ -269,3 +272,26 @@
         assert active[0].run_id == run_id
         ended = decode_ended_runs([[58, f"{_ID}.0.1.9", 2, "done", ""]])
         assert (ended[0].sequence, ended[0].run_id, ended[0].kind) == (58, run_id, EndKind.DONE)
+
+
+class TestDeadlineHeader:
+    """The client's deadline, in milliseconds."""
+
+    _QUEUE = Queue("q", "host", "/", "svc", 0, 3, 1_500, 1.6, 60)
+
+    @pytest.mark.parametrize(
+        ("text", "timeout_ms"),
+        [("400", 400.0), ("0", 1.0), ("-5", 1.0), ("soon", 1_500.0)],
+    )
+    def test_number(self, text: str, timeout_ms: float) -> None:
+        """The queue's timeout replaces a text that is no number."""
+        assert self._timeout_ms(text) == timeout_ms
+
+    @pytest.mark.parametrize("text", ["inf", "-inf", "nan", "1e400"])
+    def test_not_finite(self, text: str) -> None:
+        """Guards against a job without an end, which was answered 500."""
+        assert self._timeout_ms(text) == 1_500.0
+
+    def _timeout_ms(self, text: str) -> float:
+        request = make_mocked_request("POST", "/", headers={"X-Foldloom-Deadline-Ms": text})
+        return client_timeout_ms(request, self._QUEUE)
