Platform: wait for incomplete requests only while a job runs

Cause: an entry box that stops waited for requests that had not arrived whole until 5.6 s of its 6 s; on a loaded machine the rest took longer than 0.4 s. Change: once the last job is answered nothing is left to wait for but its response, so the other connections are aborted 200 ms later, 2.8 s after SIGTERM in place of 5.6 s without a job. With jobs in flight the timeouts are as before.

--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -39,7 +39,8 @@
 
 # Without heartbeats from any owner for this long, the box is not ready; several owner failovers.
 _OWNER_LOST_MS = 1_500.0
-# From the cancellation of the remaining jobs at a planned stop to the responses to their callers.
+# At a planned stop: interval of checks for running jobs, and time for the responses of the last.
+_JOBS_CHECK_S = 0.02
 _RESPONSE_MARGIN_MS = 200.0
 
 ReadQueues = Callable[[Publication], QueueTable]
@@ -148,22 +149,17 @@
         await self._joiner.announce()
         await sleep(self._settings.timings.drain_ms)
 
-    @property
-    def response_timeout_ms(self) -> float:
-        """How long after :meth:`begin_stop` callers may still get responses, in milliseconds."""
-        return self._job_timeout_ms + _RESPONSE_MARGIN_MS
-
-    @property
-    def _job_timeout_ms(self) -> float:
-        """How long after :meth:`begin_stop` jobs may still run."""
+    async def finish_jobs(self) -> None:
+        """Wait until every job has been answered; cancel those that reach the stop's timeout."""
         timings = self._settings.timings
-        return timings.stop_timeout_ms - timings.drain_ms
-
-    async def cancel_jobs(self) -> None:
-        """Cancel the remaining jobs when the timeout of a planned stop is reached."""
-        await sleep(self._job_timeout_ms)
-        ENTRY_LOG.event("process.gives_up", jobs=self._jobs.running_count)
-        self._jobs.cancel_all()
+        try:
+            async with SuspendAwareTimeout(timings.stop_timeout_ms - timings.drain_ms):
+                while self._jobs.running_count:
+                    await asyncio.sleep(_JOBS_CHECK_S)
+        except TimeoutError:
+            ENTRY_LOG.event("process.gives_up", jobs=self._jobs.running_count)
+            self._jobs.cancel_all()
+        await sleep(_RESPONSE_MARGIN_MS)
 
     async def stop(self) -> None:
         """Stop all components."""
