Bind a task to the endpoint of its unanswered start before the first birth too

Cause: tasks were bound only in services with a reported birth.

Every unanswered start binds and is reported to all boxes now, so no assumption about the first birth is left. A binding ends by evidence: the endpoint has refused or ended the run, another id answers at its address (421), or the order has expired. That the absence of births proved that ids are not reused was wrong: test_id_for_each_incarnation asserts the same start with the evidence first, and that the task waits without it.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -291,10 +291,17 @@
         "]",
         "tests/test_owners_bound_tasks.py::TestOtherZones",
     ),
+    Mutation(
+        "another id frees a bound task",
+        "seed_discovery/owners/state.py",
+        "self._unanswered_starts.discard_all(endpoint)",
+        "pass",
+        "tests/test_owners_bound_tasks.py::TestPlacement::test_id_for_each_incarnation",
+    ),
     Mutation(
         "bindings are reported to the boxes",
         "seed_discovery/owners/unanswered_starts.py",
-        "self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))",
+        "self._actions.report(EndpointBinding(run_id, endpoint))",
         "pass",
         "tests/test_owners_bound_failover.py",
     ),
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -105,7 +105,7 @@
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         for binding in message.bindings:
-            self._unanswered_starts.adopt(binding, message.service, now_ms)
+            self._unanswered_starts.adopt(binding, now_ms)
         self._deliveries.deliver(holder, message, now_ms)
         end_runs_over_crash_limit(self._lifecycle, message, now_ms)
         reply = self._admission.decide(message, now_ms)
@@ -170,10 +170,6 @@
             return
         known.update_record(record)
 
-    def note_reused_ids(self, service: str) -> None:
-        """Record that endpoints of *service* keep their ids across restarts."""
-        self._unanswered_starts.note_reused_ids(service)
-
     def remove_endpoint(self, endpoint: str, now_ms: float) -> None:
         """Remove an endpoint whose incarnation has certainly ended, and finish its runs."""
         self.handle_lease_expiry(endpoint, now_ms)
@@ -220,6 +216,14 @@
         if candidate is not None:
             note_crash(self._lifecycle, candidate, now_ms)
 
+    def handle_other_id(self, endpoint: str, now_ms: float) -> None:
+        """Handle an answer by another id at the address of *endpoint*.
+
+        The incarnation has ended, and no order meant for it can be executed any more.
+        """
+        self.handle_crash(endpoint, now_ms)
+        self._unanswered_starts.discard_all(endpoint)
+
     def handle_lease_expiry(self, endpoint: str, now_ms: float) -> None:
         """Finish the runs on *endpoint*: every lease there has certainly expired."""
         candidate = self._candidates.get(endpoint)
@@ -249,7 +253,7 @@
     ) -> None:
         """Handle the outcome of a start order."""
         if outcome is CallOutcome.UNKNOWN:
-            self._lifecycle.note_unanswered_start(run_id, endpoint, now_ms)
+            self._unanswered_starts.add(run_id, endpoint, now_ms)
         elif outcome is not CallOutcome.DONE:
             self._unanswered_starts.discard(run_id, endpoint)
         handle_start_outcome(self._lifecycle, self._candidates, run_id, endpoint, outcome, now_ms)
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -6,13 +6,14 @@
 until the start order has expired:
 
 - The stop order is retransmitted to each incarnation until confirmed.
-- Where ids are reused, the task is bound to the endpoint: it starts on no other. An incarnation
-  may execute the start order before the owner has discovered it, beside a run elsewhere. On the
-  same endpoint, the task's next attempt excludes the unanswered one. The binding is reported to
-  all boxes, since the task's next owner must keep to it too.
-
-Ids are reused in a service if any of its endpoints, in any zone, has reported a start time.
-Otherwise each incarnation has its own id, and refuses orders that are meant for another.
+- The task is bound to the endpoint: it starts on no other. An incarnation may execute the start
+  order before the owner has discovered it, beside a run elsewhere. On the same endpoint, the task's
+  next attempt excludes the unanswered one. The binding is reported to all boxes, since the task's
+  next owner must keep to it too.
+
+An incarnation that reports no start time may still be followed by one under the same id, which then
+reports the first start time of its service. The task is therefore free only once the endpoint has
+refused or ended the run, or once another id answers at the endpoint's address.
 """
 
 from __future__ import annotations
@@ -32,13 +33,11 @@
     """A start order that may still be executed.
 
     Args:
-        service: The service of the endpoint; ``None`` if neither run nor endpoint is known.
         expires_ms: When it can no longer be executed; own monotonic clock.
         stop_sent_ms: When the stop order was last sent to the present incarnation.
         is_stop_confirmed: Whether the present incarnation has confirmed the stop order.
     """
 
-    service: str | None
     expires_ms: float
     stop_sent_ms: float
     is_stop_confirmed: bool = False
@@ -56,7 +55,6 @@
     def __init__(self, actions: Actions) -> None:
         self._actions = actions
         self._pending: dict[StopAction, _UnconfirmedStart] = {}
-        self._services_reusing_ids: set[str] = set()
         self._bound_endpoints: dict[TaskId, str] = {}
 
     @property
@@ -64,23 +62,21 @@
         """The bound tasks, each with the only endpoint on which it may start."""
         return self._bound_endpoints
 
-    def add(self, run_id: RunId, endpoint: str, service: str | None, now_ms: float) -> None:
+    def add(self, run_id: RunId, endpoint: str, now_ms: float) -> None:
         """Record an unanswered start order whose run is being stopped or has ended."""
         self.expire(now_ms)
         stop = StopAction(run_id, endpoint)
         self._pending.pop(stop, None)
-        self._pending[stop] = _UnconfirmedStart(service, now_ms + UNANSWERED_ORDER_TTL_MS, now_ms)
-        if service in self._services_reusing_ids:
-            self._bind(stop)
+        self._pending[stop] = _UnconfirmedStart(now_ms + UNANSWERED_ORDER_TTL_MS, now_ms)
+        self._bound_endpoints[run_id.task] = endpoint
+        self._actions.report(EndpointBinding(run_id, endpoint))
 
-    def adopt(self, binding: EndpointBinding, service: str, now_ms: float) -> None:
+    def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
         """Record an unanswered start order that another owner has reported to the boxes."""
-        self.note_reused_ids(service)
         stop = StopAction(binding.run_id, binding.endpoint)
         if stop in self._pending:
             return
-        expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
-        self._pending[stop] = _UnconfirmedStart(service, expires_ms, float("-inf"))
+        self._pending[stop] = _UnconfirmedStart(now_ms + UNANSWERED_ORDER_TTL_MS, float("-inf"))
         self._bound_endpoints[stop.run_id.task] = stop.endpoint
 
     def discard(self, run_id: RunId, endpoint: str) -> None:
@@ -94,14 +90,10 @@
             self._actions.report(EndpointBinding(run_id, endpoint, is_lifted=True))
             self._release(run_id.task)
 
-    def note_reused_ids(self, service: str) -> None:
-        """Record that an endpoint of *service* reports its start time."""
-        if service in self._services_reusing_ids:
-            return
-        self._services_reusing_ids.add(service)
-        for stop, unconfirmed in self._pending.items():
-            if unconfirmed.service == service:
-                self._bind(stop)
+    def discard_all(self, endpoint: str) -> None:
+        """Remove all orders to *endpoint*: another id answers at its address and refuses them."""
+        for run_id in [stop.run_id for stop in self._pending if stop.endpoint == endpoint]:
+            self.discard(run_id, endpoint)
 
     def next_attempt(self, task: TaskId) -> int:
         """Return the lowest attempt of *task* that excludes its unanswered ones; 1 if none."""
@@ -157,10 +149,6 @@
             del self._pending[stop]
             self._release(stop.run_id.task)
 
-    def _bind(self, stop: StopAction) -> None:
-        self._bound_endpoints[stop.run_id.task] = stop.endpoint
-        self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))
-
     def _release(self, task: TaskId) -> None:
         """Bind *task* to the endpoint of its newest remaining order, or to none."""
         if self._bound_endpoints.pop(task, None) is None:
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -248,8 +248,11 @@
     def note_incarnation_ended(self, endpoint: str, born_ms: int) -> None:
         """Handle the certain end of the incarnation of *endpoint* started at *born_ms*."""
         ENDPOINT_LOG.event("endpoint.life_over", endpoint=endpoint, born_ms=born_ms)
-        self.handle_crash(endpoint)
-        self._context.catalog.end_incarnation(endpoint, born_ms, monotonic_ms())
+        now_ms = monotonic_ms()
+        if not self._is_closed:
+            self._state.handle_other_id(endpoint, now_ms)
+            self._execute_actions()
+        self._context.catalog.end_incarnation(endpoint, born_ms, now_ms)
 
     def note_next_incarnation(self, endpoint: str, born_ms: int) -> None:
         """Handle an answer from a later incarnation of *endpoint*, started at *born_ms*."""
--- /dev/null
+++ b/tests/models/late_orders.py
@@ -0,0 +1,109 @@
+# SPDX-License-Identifier: MIT
+"""Simulated zones in which one start order stays unanswered and is executed late."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable
+from typing import Any
+
+from foldloom.seed_discovery.endpoints.calls import CallOutcome, CallReply, StartOrder
+from foldloom.seed_discovery.jobs.spec import RunId
+from models.standing_boxes import PausableZonesWorld
+from models.virtual_time import PausableLoop, run_in_virtual_time
+
+_SETTLE_S = 1.0
+# From the start on another endpoint to the restart of the first one; well below the task's time.
+_RESTART_AFTER_S = 0.05
+# How long the first endpoint is silent at most: longer than a new owner waits for its report.
+_SILENCE_MAX_S = 1.8
+
+
+class LateOrderWorld(PausableZonesWorld):
+    """Zones in which the first start order stays unanswered.
+
+    It is executed by the endpoint's next incarnation, which begins while the task runs on another
+    endpoint, or after a silence.
+    """
+
+    def __init__(self, seed: int, loop: PausableLoop) -> None:
+        super().__init__(seed, loop)
+        self.ordered = asyncio.Event()
+        self._first_endpoint = ""
+        self._late_order: Callable[[], CallReply] | None = None
+        self._has_restarted = False
+
+    def record_start_order(self, box: str, endpoint: str, run_id: RunId) -> None:
+        """Record the endpoint of the first start order."""
+        super().record_start_order(box, endpoint, run_id)
+        if not self._first_endpoint:
+            self._first_endpoint = endpoint
+            self.ordered.set()
+
+    def order(
+        self,
+        context: contextvars.Context,
+        box: str,
+        endpoint: str,
+        carry_out: Callable[[], CallReply],
+    ) -> asyncio.Future[CallReply]:
+        """Deliver an order, but keep the first one."""
+        if endpoint == self._first_endpoint and self._late_order is None:
+            self._late_order = carry_out
+            return self.loop.create_future()
+        return super().order(context, box, endpoint, carry_out)
+
+    def start(self, name: str, order: StartOrder) -> CallReply:
+        """Carry out a start order; one on another endpoint is followed by the late one."""
+        reply = super().start(name, order)
+        if reply.outcome is CallOutcome.DONE and name != self._first_endpoint:
+            self._call_later(_RESTART_AFTER_S, self._restart_and_execute)
+        return reply
+
+    def silence_endpoint(self) -> None:
+        """Silence the first endpoint until its next incarnation."""
+        self.trouble.deaf.add(self._first_endpoint)
+        self._call_later(_SILENCE_MAX_S, self._restart_and_execute)
+
+    def _restart_and_execute(self) -> None:
+        assert self._late_order is not None
+        if self._has_restarted:
+            return
+        self._has_restarted = True
+        self.trouble.deaf.clear()
+        self.restart_endpoint(self._first_endpoint)
+        self._late_order()
+
+    def report_births(self) -> None:
+        """Restart all endpoints, so that each reports its birth."""
+        for name in self.endpoints:
+            self.tell(self.restart_endpoint(name))
+
+    def boxes_in(self, zone: str) -> tuple[str, str]:
+        """Return the owner of *zone* and its other box."""
+        names = [name for name, box in self.boxes.items() if box.zone == zone]
+        names.sort(key=lambda name: self.boxes[name].elector.owner is None)
+        return names[0], names[1]
+
+
+def run_scenario(
+    seed: int, scenario: Callable[[LateOrderWorld], Any], are_births_known: bool = True
+) -> LateOrderWorld:
+    """Play *scenario* in settled zones, whose endpoints report births if *are_births_known*."""
+    loop = PausableLoop(random.Random(seed))
+    random.seed(seed)
+
+    async def play() -> LateOrderWorld:
+        world = LateOrderWorld(seed, loop)
+        await asyncio.sleep(_SETTLE_S)
+        if are_births_known:
+            world.report_births()
+        await asyncio.sleep(_SETTLE_S)
+        await scenario(world)
+        assert world.errors == []
+        return world
+
+    world: LateOrderWorld = run_in_virtual_time(play(), loop)
+    return world
--- /dev/null
+++ b/tests/test_owners_first_births.py
@@ -0,0 +1,71 @@
+# SPDX-License-Identifier: MIT
+"""A task on two endpoints: no endpoint had reported a birth when its start stayed unanswered.
+
+The endpoint's next incarnation is the first of its service to report its birth. It executes the
+start order before the task's owner has discovered it. Simulated zones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from models.late_orders import LateOrderWorld, run_scenario
+from models.zones_world import ZONES
+
+_JOB = "c" * 16
+_TASK_MS = 400.0
+# From the first start order to the next event: its call has timed out, and the stop is confirmed.
+_UNANSWERED_S = 0.3
+_RESUBMIT_AFTER_S = 0.02
+_NEVER_MS = 1e5
+
+
+@pytest.mark.parametrize("seed", range(8))
+class TestFirstBirth:
+    """The start order is executed before, or the task moves after, the first reported birth."""
+
+    def test_silent_endpoint(self, seed: int) -> None:
+        """The endpoint is silent until its next incarnation begins, maybe too late for the job."""
+
+        async def scenario(world: LateOrderWorld) -> None:
+            box = world.boxes_in(ZONES[0])[1]
+            call = asyncio.create_task(world.call(box, _JOB, 1, _TASK_MS, _NEVER_MS))
+            await world.ordered.wait()
+            world.silence_endpoint()
+            await call
+
+        world = run_scenario(seed, scenario, are_births_known=False)
+        assert world.doubled == []
+        assert world.answers[-1].is_completed or world.answers[-1].may_have_run
+
+    def test_submitted_again_in_the_other_zone(self, seed: int) -> None:
+        """The caller disconnects before any birth is reported, and submits the job elsewhere."""
+
+        async def scenario(world: LateOrderWorld) -> None:
+            first, second = (world.boxes_in(zone)[1] for zone in ZONES)
+            await world.call(first, _JOB, 1, _TASK_MS, _UNANSWERED_S * 1_000)
+            await asyncio.sleep(_RESUBMIT_AFTER_S)
+            await world.call(second, _JOB, 1, _TASK_MS, _NEVER_MS)
+
+        world = run_scenario(seed, scenario, are_births_known=False)
+        assert world.doubled == []
+        assert world.answers[-1].is_completed
+
+    def test_submitted_again_after_the_first_birth(self, seed: int) -> None:
+        """An endpoint of the other zone reports the first birth before the job is submitted there.
+
+        The owner there knows that ids are reused, and must know of the unanswered start too.
+        """
+
+        async def scenario(world: LateOrderWorld) -> None:
+            first, second = (world.boxes_in(zone)[1] for zone in ZONES)
+            await world.call(first, _JOB, 1, _TASK_MS, _UNANSWERED_S * 1_000)
+            world.tell(world.restart_endpoint(f"w-{ZONES[1]}0"))
+            await asyncio.sleep(_RESUBMIT_AFTER_S)
+            await world.call(second, _JOB, 1, _TASK_MS, _NEVER_MS)
+
+        world = run_scenario(seed, scenario, are_births_known=False)
+        assert world.doubled == []
+        assert world.answers[-1].is_completed
