Claims: decide split votes by an order of the coordinators

Cause: three coordinators get one vote each, withdraw, and claim again after 2 to 20 ms. Over links slower than that they split again, and give up after four attempts, seconds before the deadline. Evidence: with delayed links and no load, all three log "b1 granted, a1 held, c2 held" and so on round the ring.

The coordinators of a submission have an order now. The first one met keeps its claim and requests the votes again; the others withdraw theirs and follow it. Attempts that meet a claim are limited by the deadline, not by a count. Requesting again is a repeated message, which the models allow; a follower is told "withdrawn" only after the withdrawal. All coordinators met are followed at once, so one that can't be reached no longer hides the answer of another.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -100,6 +100,13 @@
         'return not_run("claim-no-quorum"',
         _CLAIMS_FAULTS + "TestPartitions::test_each_zone_in_turn",
     ),
+    Mutation(
+        "split votes have a winner",
+        "static_peers/entry/coordinator.py",
+        "if not result.has_precedence:",
+        "if True:",
+        "tests/test_claims_contention.py",
+    ),
     Mutation(
         "attempt id is echoed",
         "static_peers/endpoints/adapter.py",
--- a/src/foldloom/static_peers/claims/acquire.py
+++ b/src/foldloom/static_peers/claims/acquire.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+import xxhash
+
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import Settings
@@ -36,13 +38,15 @@
 
     Args:
         outcome: Whether the claim was won, is held by others, or lacked a quorum.
-        conflicting_claims: Conflicting claims of other coordinators.
+        conflicting_claims: Conflicting claims, the one that should win first.
         detail: Each replica's vote, as text.
+        has_precedence: Whether the requested claim should win over all conflicting ones.
     """
 
     outcome: Acquisition
     conflicting_claims: list[Claim]
     detail: str
+    has_precedence: bool = False
 
 
 class ClaimAcquirer:
@@ -100,7 +104,7 @@
             if self._is_lost(replicas, replies, len(pending)):
                 break
         _cancel_all(pending)
-        return self._failure_result(replicas, replies)
+        return self._failure_result(submission, replicas, replies)
 
     def withdraw(self, submission: str, attempt: int) -> None:
         """Withdraw the claim at every replica; only for a job that started no task."""
@@ -157,17 +161,36 @@
         return is_held and not can_still_win(replicas, replies)
 
     def _failure_result(
-        self, replicas: ReplicaSets, replies: dict[str, ClaimReply]
+        self, submission: str, replicas: ReplicaSets, replies: dict[str, ClaimReply]
     ) -> AcquireResult:
-        holders = list(
-            dict.fromkeys(claim for reply in replies.values() for claim in reply.holders)
+        voters: dict[Claim, set[str]] = {}
+        for box, reply in replies.items():
+            for claim in reply.holders:
+                voters.setdefault(claim, set()).add(box)
+
+        def precedence(claim: Claim) -> tuple[bool, int, str]:
+            has_majority = replicas.is_majority(voters[claim])
+            return not has_majority, *_rank(submission, claim.coordinator)
+
+        holders = sorted(voters, key=precedence)
+        own_precedence = (True, *_rank(submission, self._settings.box))
+        has_precedence = bool(holders) and all(
+            self.is_own(claim) or own_precedence < precedence(claim) for claim in holders
         )
         vote_texts = [
             f"{box} {replies[box].vote.name.lower() if box in replies else 'silent'}"
             for box in replicas.boxes
         ]
         outcome = Acquisition.HELD if holders else Acquisition.NO_QUORUM
-        return AcquireResult(outcome, holders, ", ".join(vote_texts))
+        return AcquireResult(outcome, holders, ", ".join(vote_texts), has_precedence)
+
+
+def _rank(submission: str, coordinator: str) -> tuple[int, str]:
+    """Return the rank of *coordinator* among those that claim *submission*; the lowest wins.
+
+    All boxes agree on it, and it differs between submissions.
+    """
+    return xxhash.xxh3_64_intdigest(f"{submission}/{coordinator}".encode()), coordinator
 
 
 def _cancel_all(pending: set[asyncio.Task[tuple[str, ClaimReply | None]]]) -> None:
--- a/src/foldloom/static_peers/entry/coordinator.py
+++ b/src/foldloom/static_peers/entry/coordinator.py
@@ -31,8 +31,8 @@
 from foldloom.tasks import TaskSet
 from foldloom.verdicts import Problem, Verdict, may_have_run, not_run
 
-# Attempts fail on a missing quorum, split votes or a conflicting claim that is then withdrawn.
-_CLAIM_ATTEMPTS_MAX = 4
+# Attempts without a quorum and without a conflicting claim: too few replicas can vote.
+_NO_QUORUM_ATTEMPTS_MAX = 4
 # Bounds of the random back-off between claim attempts.
 _BACKOFF_MIN_S = 0.002
 _BACKOFF_MAX_S = 0.02
@@ -101,8 +101,8 @@
     async def _claim_and_run(self, job: Job, request: JobRequest) -> None:
         started_ms = monotonic_ms()
         deadline_ms = started_ms + request.deadline_ms
-        result = None
-        for _ in range(_CLAIM_ATTEMPTS_MAX):
+        no_quorum_count = 0
+        while True:
             result = await self._acquirer.acquire(job.submission, job.digest, job.attempt)
             if result.outcome is Acquisition.WON:
                 self._metrics.timing("claim_ms", monotonic_ms() - started_ms)
@@ -111,38 +111,56 @@
             CLAIM_LOG.info(
                 "Job {}: claim {} ({}).", job.submission, result.outcome.value, result.detail
             )
-            job.enter_state(JobState.FOLLOWING)
-            self._acquirer.withdraw(job.submission, job.attempt)
             response = await self._follow_coordinators(job, result, deadline_ms)
+            no_quorum_count += result.outcome is Acquisition.NO_QUORUM
+            if response is None and (
+                no_quorum_count >= _NO_QUORUM_ATTEMPTS_MAX or monotonic_ms() >= deadline_ms
+            ):
+                problem = no_quorum_problem(job.submission, self._settings.zone, result.detail)
+                response = self._problem_response(job.submission, problem)
             if response is not None:
+                if job.state is JobState.CLAIMING:
+                    self._yield_claim(job)
                 self._finish(job, JobState.FOLLOWING, response)
                 return
             await asyncio.sleep(random.uniform(_BACKOFF_MIN_S, _BACKOFF_MAX_S))
-            job.claim_again()
-        job.enter_state(JobState.FOLLOWING)
-        detail = "" if result is None else result.detail
-        response = self._problem_response(
-            job.submission, no_quorum_problem(job.submission, self._settings.zone, detail)
-        )
-        self._finish(job, JobState.FOLLOWING, response)
+            if job.state is JobState.FOLLOWING:
+                job.claim_again()
 
     async def _follow_coordinators(
         self, job: Job, result: AcquireResult, deadline_ms: float
     ) -> Response | None:
-        """Return another coordinator's response, or ``None`` if all claims met are withdrawn."""
-        for holder in result.conflicting_claims:
-            followed = await self._follow(job, holder, deadline_ms)
-            if followed.end is FollowEnd.RESPONSE:
-                return followed.response
-            self._acquirer.notify_withdrawn(job.submission, holder)
-        return None
+        """Return another coordinator's response, or ``None`` if all claims met are withdrawn.
+
+        Split votes are resolved by precedence: the coordinator whose claim should win keeps it and
+        requests the votes again, the others withdraw their claims and follow it.
+        """
+        if not result.has_precedence:
+            self._yield_claim(job)
+        follows = [
+            asyncio.create_task(self._follow(job, holder, deadline_ms))
+            for holder in result.conflicting_claims
+        ]
+        try:
+            return await first_response(follows, is_release_enough=result.has_precedence)
+        finally:
+            for follow in follows:
+                follow.cancel()
+
+    def _yield_claim(self, job: Job) -> None:
+        """Withdraw the claim of *job*, whose attempt can't be won from now on."""
+        job.enter_state(JobState.FOLLOWING)
+        self._acquirer.withdraw(job.submission, job.attempt)
 
     async def _follow(self, job: Job, holder: Claim, deadline_ms: float) -> Followed:
         if self._acquirer.is_own(holder):
             # An earlier attempt of this box that started no task; otherwise the job table has it.
             return Followed(FollowEnd.RELEASED, None)
         ENTRY_LOG.info("Job {}: following it on {}.", job.submission, holder.coordinator)
-        return await self._follower.follow(job.submission, job.digest, holder, deadline_ms)
+        followed = await self._follower.follow(job.submission, job.digest, holder, deadline_ms)
+        if followed.end is FollowEnd.RELEASED:
+            self._acquirer.notify_withdrawn(job.submission, holder)
+        return followed
 
     async def _run(
         self, job: Job, request: JobRequest, started_ms: float, deadline_ms: float
@@ -194,3 +212,26 @@
 
     def _problem_response(self, submission: str, problem: Problem) -> Response:
         return problem_response(submission, self._settings.zone, problem)
+
+
+async def first_response(
+    follows: list[asyncio.Task[Followed]], is_release_enough: bool
+) -> Response | None:
+    """Return the first response of a coordinator, ``None`` if all have released their claims.
+
+    If a coordinator can't answer, the others may still have run the job, so its problem is returned
+    only if none of them responds.
+
+    Args:
+        follows: One for each conflicting claim.
+        is_release_enough: Whether a single release is worth another request for the votes.
+    """
+    problem: Response | None = None
+    for next_followed in asyncio.as_completed(follows):
+        followed = await next_followed
+        if followed.end is FollowEnd.RESPONSE:
+            return followed.response
+        if followed.end is FollowEnd.RELEASED and is_release_enough:
+            return None
+        problem = problem or followed.response
+    return problem
--- a/src/foldloom/static_peers/entry/follow.py
+++ b/src/foldloom/static_peers/entry/follow.py
@@ -64,12 +64,15 @@
     """Outcome of following a job."""
 
     RESPONSE = "response"
+    """The coordinator has answered with the job's response."""
+    NO_RESPONSE = "no-response"
+    """The coordinator can't answer; the response says so."""
     RELEASED = "released"
     RUNNING = "running"
 
 
 class Followed(NamedTuple):
-    """The outcome of following; ``response`` is set only if ``end`` is ``RESPONSE``."""
+    """The outcome of following; ``response`` is set if it is ``RESPONSE`` or ``NO_RESPONSE``."""
 
     end: FollowEnd
     response: Response | None
@@ -174,7 +177,7 @@
 
     def _ended(self, submission: str, problem: Problem) -> Followed:
         response = problem_response(submission, self._settings.zone, problem)
-        return Followed(FollowEnd.RESPONSE, response)
+        return Followed(FollowEnd.NO_RESPONSE, response)
 
     async def _on_attach(self, sender: str, message: Attach) -> AttachReply:
         is_own_incarnation = (
--- a/tests/models/virtual_time.py
+++ b/tests/models/virtual_time.py
@@ -7,13 +7,17 @@
 import contextvars
 import random
 import selectors
+import sys
 import time
 from collections.abc import Callable, Coroutine
+from contextlib import ExitStack
 from enum import Enum
 from typing import Any
 from unittest.mock import patch
 
-from foldloom.seed_discovery.owners.elector import Elector
+# The modules that read a clock directly. The own interface and the platform can't be imported in
+# one process, so only those that a simulation has imported are patched.
+_MODULES_WITH_CLOCK = ("foldloom.clock", "foldloom.seed_discovery.owners.elector")
 
 
 class _VirtualTimeSelector(selectors.SelectSelector):
@@ -255,7 +259,10 @@
 
 def run_in_virtual_time(play: Coroutine[Any, Any, Any], loop: VirtualTimeLoop) -> Any:
     """Run *play* on *loop*, with the product's clocks patched to the loop's time."""
-    with patch("foldloom.clock.time", loop), patch(f"{Elector.__module__}.time", loop):
+    with ExitStack() as patches:
+        for module in _MODULES_WITH_CLOCK:
+            if module in sys.modules:
+                patches.enter_context(patch(f"{module}.time", loop))
         try:
             return loop.run_until_complete(play)
         finally:
--- a/tests/test_claims_faults.py
+++ b/tests/test_claims_faults.py
@@ -144,6 +144,22 @@
         finally:
             rig.proxy.delay(0.0)
 
+    @pytest.mark.parametrize("count", [2, 3, 6])
+    @pytest.mark.parametrize("delay_s", [0.005, 0.01, 0.04])
+    def test_all_get_the_answer_over_slow_links(self, rig: Rig, delay_s: float, count: int) -> None:
+        """Regression: coordinators that split the votes again and again answered 503."""
+        rig.proxy.delay(delay_s)
+        try:
+            for number in range(5):
+                submission = f"slow-links-{delay_s}-{count}-{number}"
+                sent = [
+                    rig.send(box, submission, [{"ms": 20}]) for box in rig.cluster.boxes[:count]
+                ]
+                assert [one.result().status for one in sent] == [200] * count
+                assert rig.started(submission) == [1]
+        finally:
+            rig.proxy.delay(0.0)
+
     def test_frozen_coordinator(self, rig: Rig) -> None:
         """A frozen coordinator's job is not started elsewhere, nor twice after it resumes."""
         submission = rig.submission_with(False, "a2", "frozen")
