Do not bind tasks in a service in which another id has answered

Binding before the first birth costs callers where each incarnation has its own id: a task waits for an endpoint that never returns.

Another id that answers in place of an endpoint without a birth shows that the service follows the contract: a new id for each incarnation. Its owner lifts the bindings of the service and makes no new ones, until a birth is reported.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -308,7 +308,7 @@
     Mutation(
         "bindings are reported to the boxes",
         "seed_discovery/owners/unanswered_starts.py",
-        "self._actions.report(EndpointBinding(run_id, endpoint))",
+        "self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))",
         "pass",
         "tests/test_owners_bound_failover.py",
     ),
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -70,6 +70,8 @@
         start time that still has runs is therefore polled until they have ended or their leases
         have expired, so that no run starts a second time elsewhere.
         """
+        for service in {record.service for record in self._catalog.records if record.born_ms}:
+            self._state.note_reused_ids(service)
         records = {
             record.endpoint: record for record in self._catalog.records if record.zone == self._zone
         }
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -105,7 +105,7 @@
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         for binding in message.bindings:
-            self._unanswered_starts.adopt(binding, now_ms)
+            self._unanswered_starts.adopt(binding, message.service, now_ms)
         self._deliveries.deliver(holder, message, now_ms)
         end_runs_over_crash_limit(self._lifecycle, message, now_ms)
         reply = self._admission.decide(message, now_ms)
@@ -170,6 +170,10 @@
             return
         known.update_record(record)
 
+    def note_reused_ids(self, service: str) -> None:
+        """Record that an endpoint of *service* reports its start time."""
+        self._unanswered_starts.note_reused_ids(service)
+
     def remove_endpoint(self, endpoint: str, now_ms: float) -> None:
         """Remove an endpoint whose incarnation has certainly ended, and finish its runs."""
         self.handle_lease_expiry(endpoint, now_ms)
@@ -223,6 +227,9 @@
         """
         self.handle_crash(endpoint, now_ms)
         self._unanswered_starts.discard_all(endpoint)
+        candidate = self._candidates.get(endpoint)
+        if candidate is not None and not candidate.record.born_ms:
+            self._unanswered_starts.note_new_ids(candidate.record.service)
 
     def handle_lease_expiry(self, endpoint: str, now_ms: float) -> None:
         """Finish the runs on *endpoint*: every lease there has certainly expired."""
@@ -253,7 +260,7 @@
     ) -> None:
         """Handle the outcome of a start order."""
         if outcome is CallOutcome.UNKNOWN:
-            self._unanswered_starts.add(run_id, endpoint, now_ms)
+            self._lifecycle.note_unanswered_start(run_id, endpoint, now_ms)
         elif outcome is not CallOutcome.DONE:
             self._unanswered_starts.discard(run_id, endpoint)
         handle_start_outcome(self._lifecycle, self._candidates, run_id, endpoint, outcome, now_ms)
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -13,7 +13,10 @@
 
 An incarnation that reports no start time may still be followed by one under the same id, which then
 reports the first start time of its service. The task is therefore free only once the endpoint has
-refused or ended the run, or once another id answers at the endpoint's address.
+refused or ended the run, or once another id answers at the address of an endpoint that reports no
+start time. That shows that each incarnation of this service has its own id and refuses orders that
+are meant for another; tasks of the service are not bound until one of its endpoints reports a start
+time.
 """
 
 from __future__ import annotations
@@ -33,11 +36,13 @@
     """A start order that may still be executed.
 
     Args:
+        service: The service of the run.
         expires_ms: When it can no longer be executed; own monotonic clock.
         stop_sent_ms: When the stop order was last sent to the present incarnation.
         is_stop_confirmed: Whether the present incarnation has confirmed the stop order.
     """
 
+    service: str
     expires_ms: float
     stop_sent_ms: float
     is_stop_confirmed: bool = False
@@ -56,28 +61,34 @@
         self._actions = actions
         self._pending: dict[StopAction, _UnconfirmedStart] = {}
         self._bound_endpoints: dict[TaskId, str] = {}
+        self._services_reusing_ids: set[str] = set()
+        self._services_with_new_ids: set[str] = set()
 
     @property
     def bound_endpoints(self) -> Mapping[TaskId, str]:
         """The bound tasks, each with the only endpoint on which it may start."""
         return self._bound_endpoints
 
-    def add(self, run_id: RunId, endpoint: str, now_ms: float) -> None:
+    def add(self, run_id: RunId, endpoint: str, service: str, now_ms: float) -> None:
         """Record an unanswered start order whose run is being stopped or has ended."""
         self.expire(now_ms)
         stop = StopAction(run_id, endpoint)
         self._pending.pop(stop, None)
-        self._pending[stop] = _UnconfirmedStart(now_ms + UNANSWERED_ORDER_TTL_MS, now_ms)
-        self._bound_endpoints[run_id.task] = endpoint
-        self._actions.report(EndpointBinding(run_id, endpoint))
+        expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
+        self._pending[stop] = _UnconfirmedStart(service, expires_ms, now_ms)
+        self._bind(stop, service)
 
-    def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
-        """Record an unanswered start order that another owner has reported to the boxes."""
+    def adopt(self, binding: EndpointBinding, service: str, now_ms: float) -> None:
+        """Record an unanswered start order of another owner, as delivered by a box.
+
+        It is reported to all boxes, since its owner may have ended before it could do so.
+        """
         stop = StopAction(binding.run_id, binding.endpoint)
         if stop in self._pending:
             return
-        self._pending[stop] = _UnconfirmedStart(now_ms + UNANSWERED_ORDER_TTL_MS, float("-inf"))
-        self._bound_endpoints[stop.run_id.task] = stop.endpoint
+        expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
+        self._pending[stop] = _UnconfirmedStart(service, expires_ms, float("-inf"))
+        self._bind(stop, service)
 
     def discard(self, run_id: RunId, endpoint: str) -> None:
         """Remove an order that *endpoint* has refused, or whose run has ended there.
@@ -95,6 +106,26 @@
         for run_id in [stop.run_id for stop in self._pending if stop.endpoint == endpoint]:
             self.discard(run_id, endpoint)
 
+    def note_reused_ids(self, service: str) -> None:
+        """Record that an endpoint of *service* reports its start time."""
+        self._services_reusing_ids.add(service)
+        if service not in self._services_with_new_ids:
+            return
+        self._services_with_new_ids.remove(service)
+        for stop in self._orders_of(service):
+            self._bind(stop, service)
+
+    def note_new_ids(self, service: str) -> None:
+        """Record that the id of an endpoint of *service* ended with its incarnation."""
+        if service in self._services_reusing_ids or service in self._services_with_new_ids:
+            return
+        self._services_with_new_ids.add(service)
+        # The newest first, since boxes ignore reports about an earlier attempt.
+        for stop in reversed(self._orders_of(service)):
+            if self._bound_endpoints.get(stop.run_id.task) == stop.endpoint:
+                del self._bound_endpoints[stop.run_id.task]
+                self._actions.report(EndpointBinding(*stop, is_lifted=True))
+
     def next_attempt(self, task: TaskId) -> int:
         """Return the lowest attempt of *task* that excludes its unanswered ones; 1 if none."""
         if task not in self._bound_endpoints:
@@ -149,6 +180,15 @@
             del self._pending[stop]
             self._release(stop.run_id.task)
 
+    def _orders_of(self, service: str) -> list[StopAction]:
+        return [stop for stop, order in self._pending.items() if order.service == service]
+
+    def _bind(self, stop: StopAction, service: str) -> None:
+        if service in self._services_with_new_ids:
+            return
+        self._bound_endpoints[stop.run_id.task] = stop.endpoint
+        self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))
+
     def _release(self, task: TaskId) -> None:
         """Bind *task* to the endpoint of its newest remaining order, or to none."""
         if self._bound_endpoints.pop(task, None) is None:
