Report start orders in flight, so that other owners keep to them

Cause: a start counted as unanswered, and was reported, only once its call had timed out after 250 ms.

An owner tells the box that holds the run of each order as it sends it, where the endpoint reports births, and of the answer with its next message. When the owner is replaced or lost, the box binds the tasks whose order is in flight, and the next owner reports the bindings that it takes over. A start whose run loses its last holder counts as unanswered at once.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -305,6 +305,21 @@
         "pass",
         "tests/test_owners_bound_tasks.py::TestPlacement::test_id_for_each_incarnation",
     ),
+    Mutation(
+        "boxes know of start orders in flight",
+        "seed_discovery/owners/order_sender.py",
+        "self._notify_holders(link, StartOrdered(action.run_id, action.endpoint))",
+        "pass",
+        "tests/test_owners_inflight_starts.py::TestOrderInFlight::test_killed_owner",
+    ),
+    Mutation(
+        "a cancelled start is reported",
+        "seed_discovery/owners/lifecycle.py",
+        "self.note_unanswered_start(run.run_id, run.endpoint, now_ms)",
+        "pass",
+        "tests/test_owners_inflight_starts.py::TestOrderInFlight"
+        "::test_submitted_again_in_the_other_zone",
+    ),
     Mutation(
         "bindings are reported to the boxes",
         "seed_discovery/owners/unanswered_starts.py",
--- a/src/foldloom/seed_discovery/owners/batches.py
+++ b/src/foldloom/seed_discovery/owners/batches.py
@@ -12,7 +12,7 @@
 
 from foldloom.clock import monotonic_ms
 from foldloom.seed_discovery.jobs.spec import TaskId
-from foldloom.seed_discovery.owners.messages import RunEnd, RunOrder, SubmitRuns
+from foldloom.seed_discovery.owners.messages import RunEnd, RunOrder, StartOrdered, SubmitRuns
 from foldloom.seed_discovery.owners.open_job import OpenJob
 from foldloom.seed_discovery.owners.started_jobs import STARTED_JOB_GRACE_MS
 
@@ -27,10 +27,12 @@
     Args:
         order: Its latest delivery.
         tokens: Fencing tokens of the owners that it was sent to.
+        start: Its start order that is in flight, if any.
     """
 
     order: RunOrder
     tokens: frozenset[int] = frozenset()
+    start: StartOrdered | None = None
 
 
 class Batch:
@@ -67,6 +69,11 @@
         """Fencing tokens of the owners that may have started an open run."""
         return frozenset[int]().union(*(run.tokens for run in self._open.values()))
 
+    @property
+    def starts_in_flight(self) -> list[StartOrdered]:
+        """Start orders of open runs that no endpoint has answered yet."""
+        return [run.start for run in self._open.values() if run.start is not None]
+
     def add(self, orders: Iterable[RunOrder]) -> None:
         """Add open runs, or update the orders of those delivered again."""
         for order in orders:
@@ -80,6 +87,13 @@
             known = self._open[self.task(order)]
             self._open[self.task(order)] = known._replace(tokens=known.tokens | {token})
 
+    def note_start(self, start: StartOrdered) -> None:
+        """Record that an open run is being started, or that its endpoint has answered."""
+        run = self._open.get(start.run_id.task)
+        if run is not None:
+            in_flight = None if start.is_answered else start
+            self._open[start.run_id.task] = run._replace(start=in_flight)
+
     def close(self, end: RunEnd, token: int) -> RunOrder | None:
         """Close the open run that *end* belongs to, and return its order, if there is one.
 
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -222,6 +222,9 @@
             self._histories.note_crashes(report, now_ms)
         for binding in message.bindings:
             self._histories.note_binding(message.zone, binding, now_ms)
+        for start in message.starts:
+            if connection is not None:
+                connection.note_start(start, message.token)
         for end in message.ends:
             if connection is not None:
                 self._handle_end(connection, end, message.token or connection.owner.token)
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -24,7 +24,13 @@
 from foldloom.seed_discovery.fleet.view import FleetView
 from foldloom.seed_discovery.owners.batches import Batch
 from foldloom.seed_discovery.owners.grant import Grant
-from foldloom.seed_discovery.owners.messages import RunOrder, SubmitReply, SubmitStatus
+from foldloom.seed_discovery.owners.messages import (
+    EndpointBinding,
+    RunOrder,
+    StartOrdered,
+    SubmitReply,
+    SubmitStatus,
+)
 from foldloom.seed_discovery.owners.open_job import OpenJob
 from foldloom.seed_discovery.owners.task_histories import TaskHistories
 from foldloom.seed_discovery.owners.withdrawal import Withdrawal, withdraw
@@ -116,6 +122,13 @@
         """Return the open batches of one job in this zone."""
         return [batch for batch in self.batches_by_id(job.job_id) if batch.job is job]
 
+    def note_start(self, start: StartOrdered, token: int) -> None:
+        """Record a start order of the owner with *token* for one of the open runs."""
+        if token != self._owner.token:
+            return
+        for batch in self.batches_by_id(start.run_id.task.job_id):
+            batch.note_start(start)
+
     def pop_lost(self) -> list[LostRun]:
         """Return and drop the runs that ended with an expired grant."""
         self._end_expired_grant(monotonic_ms())
@@ -181,6 +194,7 @@
             # run that has ended may have started.
             if batch.has_started or batch.tokens:
                 batch.job.may_have_started = True
+            self._bind_starts_in_flight(batch)
             self._lost.extend(LostRun(batch, order) for order in batch.orders)
             # A delivery still being retransmitted must not reach the owner when it is back.
             batch.clear()
@@ -204,9 +218,16 @@
                 orders = [order._replace(is_resumed=True) for order in batch.orders]
                 if not orders:
                     continue
+                self._bind_starts_in_flight(batch)
                 batch.add(orders)
                 self._tasks.spawn(self._redeliver(batch, orders, old_right_ms, "new owner"))
 
+    def _bind_starts_in_flight(self, batch: Batch) -> None:
+        """Bind the tasks whose start order the previous owner has sent without an answer."""
+        for start in batch.starts_in_flight:
+            binding = EndpointBinding(start.run_id, start.endpoint)
+            self._histories.note_binding(self.zone, binding, monotonic_ms())
+
     async def _redeliver(
         self, batch: Batch, orders: list[RunOrder], right_ms: float, reason: str
     ) -> None:
--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -143,8 +143,12 @@
             self._drop(run)
             self.tombstones.add(run, now_ms)
             return
-        if run.state is not RunState.STOPPING:
-            self.stop(run, now_ms)
+        if run.state is RunState.STOPPING:
+            return
+        if run.state is RunState.STARTING:
+            # Reported now, since the job may be submitted again before the call times out.
+            self.note_unanswered_start(run.run_id, run.endpoint, now_ms)
+        self.stop(run, now_ms)
 
     def finish(self, run: Run, cause: EndCause, checkpoint: str, now_ms: float) -> None:
         """Finish *run*, which has left its endpoint.
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -207,6 +207,20 @@
 """What an owner reports to all boxes about a task, for the task's next owner."""
 
 
+class StartOrdered(NamedTuple):
+    """Tells a box that its run is being started, so that a later owner learns of the order.
+
+    Args:
+        run_id: The run.
+        endpoint: The endpoint that the start order is sent to.
+        is_answered: Whether the endpoint has answered, so that the order is not in flight any more.
+    """
+
+    run_id: RunId
+    endpoint: str
+    is_answered: bool = False
+
+
 class RunsEnded(NamedTuple):
     """Ends of runs and reports on tasks, from an owner to a box; retransmitted until acknowledged.
 
@@ -216,6 +230,7 @@
         token: The owner's token; 0 from the previous release.
         crashes: New crash counts, of any box's tasks.
         bindings: New and lifted bindings, of any box's tasks.
+        starts: Start orders for runs that the box has delivered.
     """
 
     zone: str
@@ -223,6 +238,7 @@
     token: int = 0
     crashes: tuple[TaskCrashes, ...] = ()
     bindings: tuple[EndpointBinding, ...] = ()
+    starts: tuple[StartOrdered, ...] = ()
 
 
 class EndsNoted(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -22,6 +22,7 @@
     LinkListener,
 )
 from foldloom.seed_discovery.owners.endpoint_links import EndpointLinks
+from foldloom.seed_discovery.owners.messages import StartOrdered
 from foldloom.seed_discovery.owners.sessions import Sessions
 from foldloom.seed_discovery.owners.state import OwnerState
 
@@ -91,6 +92,7 @@
             return
         self._log_start(action, link, until_ms, now_ms)
         self._metrics.count("runs.started")
+        self._notify_holders(link, StartOrdered(action.run_id, action.endpoint))
         order = StartOrder(action.run_id, action.task_input, self._token, until_ms)
         overdue_timer = asyncio.get_running_loop().call_later(
             SUSPECT_AFTER_MS / 1_000, self._owner.note_overdue, action.endpoint, "start"
@@ -100,6 +102,10 @@
         self._metrics.timing("start_call_ms", monotonic_ms() - now_ms)
         now_ms = monotonic_ms()
         self._note_answerer(link, reply, now_ms)
+        if reply.outcome is not CallOutcome.UNKNOWN:
+            self._notify_holders(
+                link, StartOrdered(action.run_id, action.endpoint, is_answered=True)
+            )
         if reply.outcome is not CallOutcome.DONE:
             self._log_refusal(action, reply)
         if reply.outcome is CallOutcome.FENCED:
@@ -130,6 +136,14 @@
             action.run_id, action.endpoint, reply.outcome, monotonic_ms()
         )
 
+    def _notify_holders(self, link: EndpointLink, notice: StartOrdered) -> None:
+        """Notify the run's holders of a start order, if the endpoint's id may be used again."""
+        run = self._state.current_run(notice.run_id.task)
+        if run is None or not link.born_ms:
+            return
+        for holder in run.holders:
+            self._sessions.queue_start(holder, notice)
+
     def _note_answerer(self, link: EndpointLink, reply: CallReply, now_ms: float) -> None:
         """Update the link's clock, or report that a later incarnation has answered."""
         answer_source = link.answer_source(reply.born_ms)
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -20,6 +20,7 @@
     RunEnd,
     RunsEnded,
     SessionBegan,
+    StartOrdered,
     TaskCrashes,
     TaskReport,
 )
@@ -30,8 +31,8 @@
 # Bounds the first message after a partition to some tens of kilobytes.
 _NOTICES_PER_MESSAGE_MAX = 200
 
-Notice = RunEnd | TaskReport
-"""What an owner tells a box: the end of one of the box's runs, or a report on any task."""
+Notice = RunEnd | StartOrdered | TaskReport
+"""What an owner tells a box: start or end of one of the box's runs, or a report on any task."""
 
 
 class Session:
@@ -63,9 +64,13 @@
         self._has_notices = asyncio.Event()
 
     def queue(self, notice: Notice) -> None:
-        """Queue a notice for sending to the box."""
+        """Queue a notice for sending to the box.
+
+        An answered start is sent together with the next other notice, at the latest the run's end.
+        """
         self._notices.append(notice)
-        self._has_notices.set()
+        if not isinstance(notice, StartOrdered) or not notice.is_answered:
+            self._has_notices.set()
 
     async def run(self) -> None:
         """Send queued notices with retransmission, after announcing a renewed session."""
@@ -86,6 +91,7 @@
                 self._token,
                 tuple(notice for notice in notices if isinstance(notice, TaskCrashes)),
                 tuple(notice for notice in notices if isinstance(notice, EndpointBinding)),
+                tuple(notice for notice in notices if isinstance(notice, StartOrdered)),
             )
             try:
                 await self._network.request(self.holder.box, message, _ACK_TIMEOUT_MS)
@@ -156,11 +162,13 @@
             self._tasks[holder] = asyncio.create_task(session.run())
         session.expires_ms = max(session.expires_ms, heartbeat_sent_ms + self._session_ms)
 
+    def queue_start(self, holder: HolderId, start: StartOrdered) -> None:
+        """Queue a start order of one of the holder's runs; dropped if there is no session."""
+        self._queue_for(holder, start)
+
     def queue_end(self, holder: HolderId, end: RunEnd) -> None:
         """Queue a run's end for *holder*; dropped if there is no session."""
-        session = self._sessions.get(holder)
-        if session is not None:
-            session.queue(end)
+        self._queue_for(holder, end)
 
     def queue_for_all(self, notice: TaskReport) -> None:
         """Queue *notice* for every box with a session."""
@@ -191,6 +199,11 @@
         """End all sessions."""
         self._end(list(self._sessions))
 
+    def _queue_for(self, holder: HolderId, notice: Notice) -> None:
+        session = self._sessions.get(holder)
+        if session is not None:
+            session.queue(notice)
+
     def _end(self, holders: Iterable[HolderId]) -> None:
         for holder in list(holders):
             del self._sessions[holder]
--- a/tests/test_owners_messages.py
+++ b/tests/test_owners_messages.py
@@ -14,6 +14,7 @@
     EndpointBinding,
     RunEnd,
     RunsEnded,
+    StartOrdered,
     SubmitRuns,
     TaskCrashes,
 )
@@ -23,19 +24,22 @@
 _JOB = "a" * 16
 _END = RunEnd(RunId(TaskId(_JOB, 0, 0, 0), 1), EndCause.DONE)
 _BINDING = EndpointBinding(RunId(TaskId(_JOB, 0, 0, 0), 1), "w1")
+_START = StartOrdered(RunId(TaskId(_JOB, 0, 0, 0), 1), "w1")
 _SUBMISSION = submission(bindings=(_BINDING,))
 _CRASHES = TaskCrashes(TaskId(_JOB, 0, 0, 0), CrashCount(2, 1))
+_ENDS = RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,), (_START,))
 
 
 class TestReleaseBefore:
-    """Previous releases send no token, no delivery in a cancel, no crash counts and no bindings."""
+    """Previous releases send fewer fields: no token, crash counts, bindings or starts."""
 
     @pytest.mark.parametrize(
         ("message", "fields_before", "absent"),
         [
             (CancelJob(_JOB, 7, 3), 1, (0, 0)),
-            (RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,)), 2, (0, (), ())),
-            (RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,)), 3, ((), ())),
+            (_ENDS, 2, (0, (), (), ())),
+            (_ENDS, 3, ((), (), ())),
+            (_ENDS, 5, ((),)),
             (_SUBMISSION, 15, ((),)),
         ],
     )
--- a/tests/test_owners_sessions.py
+++ b/tests/test_owners_sessions.py
@@ -15,6 +15,7 @@
     RunEnd,
     RunsEnded,
     SessionBegan,
+    StartOrdered,
     TaskCrashes,
 )
 from foldloom.seed_discovery.owners.sessions import Sessions
@@ -118,3 +119,30 @@
             assert network.received == [RunsEnded("z", [], _TOKEN, (report,))] * 2
 
         _run(play())
+
+
+class TestStarts:
+    """Start orders, of which a box must know if their owner ends."""
+
+    def test_order_is_sent_at_once(self) -> None:
+        """The answer to the order needs no message of its own."""
+
+        async def play() -> None:
+            network = _Network()
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            run_id = RunId(TaskId("a" * 16, 0, 0, 0), 1)
+            ordered, answered = (StartOrdered(run_id, "w1", is_it) for is_it in (False, True))
+            sessions.queue_start(_HOLDER, ordered)
+            await asyncio.sleep(0.01)
+            sessions.queue_start(_HOLDER, answered)
+            await asyncio.sleep(0.01)
+            orders = RunsEnded("z", [], _TOKEN, starts=(ordered,))
+            assert network.received == [orders]
+            end = RunEnd(run_id, EndCause.DONE)
+            sessions.queue_end(_HOLDER, end)
+            await asyncio.sleep(0.01)
+            sessions.close()
+            assert network.received == [orders, RunsEnded("z", [end], _TOKEN, starts=(answered,))]
+
+        _run(play())
