--- a/tests/test_owners_bound_tasks.py
+++ b/tests/test_owners_bound_tasks.py
@@ -154,6 +154,14 @@
         assert _started_on(state, 300.0) == [(_other(name), 2)]
         assert EndpointBinding(run_id, name, is_lifted=True) in state.actions.pop_reports()
 
+    def test_another_id_in_place_of_a_birth(self) -> None:
+        """The incarnation has ended, also in a service that reuses ids."""
+        state, name, _ = _owner_with_unanswered_start()
+        state.note_reused_ids("svc")
+        state.handle_other_id(name, 290.0)
+        state.handle_unanswered_poll(name)
+        assert _started_on(state, 300.0) == [(_other(name), 2)]
+
     def test_after_another_id(self) -> None:
         """Each incarnation has its own id in a service in which another id has answered."""
         state, name, _ = _owner_with_unanswered_start(born_ms=0)
