Own interface: answer a follower's caller at its deadline

A caller whose job runs on another box was answered up to 1.5 s after its deadline: the box's requests to the coordinator were limited by their own timeouts only. Found by reading what gives up by a count, or not by the caller's deadline.

The wait and the timeout of a request are limited by the time left.

--- a/src/foldloom/static_peers/entry/follow.py
+++ b/src/foldloom/static_peers/entry/follow.py
@@ -111,17 +111,18 @@
         Polls until the job ends or *deadline_ms* has passed. If *is_waiting* is false, returns
         ``RUNNING`` for a job that has not ended.
         """
-        wait_ms = _LONG_POLL_MS if is_waiting else _LOOKUP_WAIT_MS
         failed_polls = 0
-        while monotonic_ms() < deadline_ms:
+        while (remaining_ms := deadline_ms - monotonic_ms()) > 0:
             target = self._target(claim)
             if isinstance(target, Problem):
                 return self._ended(submission, target)
+            wait_ms = min(_LONG_POLL_MS, int(remaining_ms)) if is_waiting else _LOOKUP_WAIT_MS
             attach = Attach(
                 submission, digest, claim.coordinator, claim.incarnation, claim.attempt, wait_ms
             )
+            timeout_ms = min(_ATTACH_TIMEOUT_MS, remaining_ms)
             try:
-                reply: AttachReply = await self._network.request(target, attach, _ATTACH_TIMEOUT_MS)
+                reply: AttachReply = await self._network.request(target, attach, timeout_ms)
             except PeerUnreachableError:
                 # A single lost reply is retried; then the caller gets "may have run".
                 failed_polls += 1
--- a/tests/models/claims_world.py
+++ b/tests/models/claims_world.py
@@ -35,7 +35,6 @@
 BOXES = ("a1", "b1", "c1", "a2", "b2", "c2")
 _BOX_LIST: BoxList = {"epoch": 1, "current": {box: box[0] for box in BOXES}, "next": None}
 _RETENTION_MS = 60_000
-_RUN_S = 0.05
 # Share of a message's delay that varies.
 _JITTER = 0.3
 
@@ -96,7 +95,7 @@
 
 
 class _Run:
-    """A job run that takes a fixed time."""
+    """A job run that takes the world's ``run_s``."""
 
     max_service_ms = 0.0
 
@@ -106,7 +105,7 @@
 
     async def execute(self) -> Result[list[Any], Any]:
         self._world.starts[self._submission] = self._world.starts.get(self._submission, 0) + 1
-        await asyncio.sleep(_RUN_S)
+        await asyncio.sleep(self._world.run_s)
         return Ok([self._submission])
 
 
@@ -120,6 +119,7 @@
 
     def __init__(self, seed: int, delay_ms: float) -> None:
         self.starts: dict[str, int] = {}
+        self.run_s = 0.05
         self.metrics = Metrics()
         self._rng = random.Random(seed)
         self._delay_ms = delay_ms
--- a/tests/own_claims_contention.py
+++ b/tests/own_claims_contention.py
@@ -20,6 +20,7 @@
 
 _DEADLINE_MS = 5_000
 _SEEDS = range(20)
+_ROUND_TRIP_MAX_MS = 5.0
 # Time after the submission by which a box is silenced: about that of two attempts.
 _SILENCED_AFTER_MAX_S = 0.2
 
@@ -109,6 +110,33 @@
             assert world.starts.get(submission, 0) <= 1
 
 
+class TestDeadline:
+    """A job that runs on another box for longer than a caller waits."""
+
+    @pytest.mark.parametrize("is_cut", [False, True])
+    def test_answered_at_the_deadline(self, is_cut: bool) -> None:
+        """Regression: the box went on asking for up to 1.5 s after the deadline."""
+        answers: list[tuple[int, float]] = []
+
+        async def scenario(world: ClaimsWorld) -> None:
+            world.run_s = 10.0
+            first = asyncio.create_task(world.submit("a1", "job", 20_000))
+            await asyncio.sleep(0.1)
+            began_ms = monotonic_ms()
+            following = asyncio.create_task(world.submit("b1", "job", 1_300))
+            await asyncio.sleep(0.1)
+            if is_cut:
+                world.cut("a1", "b1")
+            response = await following
+            answers.append((response.status, monotonic_ms() - began_ms))
+            first.cancel()
+
+        run_claims(1, 1.0, scenario)
+        [(status, took_ms)] = answers
+        assert status in ((503, 504) if is_cut else (504,))
+        assert took_ms < 1_300 + _ROUND_TRIP_MAX_MS
+
+
 class TestConflictingCoordinators:
     """Answers of several coordinators whose claims conflict."""
 
--- a/tests/test_claims_contention.py
+++ b/tests/test_claims_contention.py
@@ -12,7 +12,8 @@
 
 
 @pytest.mark.parametrize(
-    "subject", ["TestSplitVotes", "TestSilentCoordinator", "TestConflictingCoordinators"]
+    "subject",
+    ["TestSplitVotes", "TestSilentCoordinator", "TestDeadline", "TestConflictingCoordinators"],
 )
 class TestContention:
     """Each test class of the module."""
