Owners: keep to the newest start in flight; learn births from answers too

An answer to an earlier order no longer clears a newer one that is in flight, a lifted binding clears its order, and an answered start waits for the next message although the box's acknowledgement was awaited when it was queued. Births known from answers only count when another id answers in place of an endpoint, and a replaced link counts as a birth, as it did before.

--- a/src/foldloom/seed_discovery/owners/batches.py
+++ b/src/foldloom/seed_discovery/owners/batches.py
@@ -90,9 +90,12 @@
     def note_start(self, start: StartOrdered) -> None:
         """Record that an open run is being started, or that its endpoint has answered."""
         run = self._open.get(start.run_id.task)
-        if run is not None:
-            in_flight = None if start.is_answered else start
-            self._open[start.run_id.task] = run._replace(start=in_flight)
+        if run is None:
+            return
+        if not start.is_answered:
+            self._open[start.run_id.task] = run._replace(start=start)
+        elif run.start == start._replace(is_answered=False):
+            self._open[start.run_id.task] = run._replace(start=None)
 
     def close(self, end: RunEnd, token: int) -> RunOrder | None:
         """Close the open run that *end* belongs to, and return its order, if there is one.
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -29,6 +29,7 @@
     RunsEnded,
     SessionBegan,
     SessionNoted,
+    StartOrdered,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
@@ -222,7 +223,12 @@
             self._histories.note_crashes(report, now_ms)
         for binding in message.bindings:
             self._histories.note_binding(message.zone, binding, now_ms)
-        for start in message.starts:
+        lifted = (
+            StartOrdered(binding.run_id, binding.endpoint, is_answered=True)
+            for binding in message.bindings
+            if binding.is_lifted
+        )
+        for start in (*message.starts, *lifted):
             if connection is not None:
                 connection.note_start(start, message.token)
         for end in message.ends:
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -127,6 +127,7 @@
             born_before_ms=link.born_ms,
             source=source,
         )
+        self._state.note_reused_ids(record.service)
         self._state.begin_incarnation(record.endpoint, monotonic_ms())
         # If the previous link's task is the caller, it returns by itself.
         if self._tasks[record.endpoint] is not asyncio.current_task():
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -69,7 +69,7 @@
         An answered start is sent together with the next other notice, at the latest the run's end.
         """
         self._notices.append(notice)
-        if not isinstance(notice, StartOrdered) or not notice.is_answered:
+        if _is_urgent(notice):
             self._has_notices.set()
 
     async def run(self) -> None:
@@ -99,10 +99,15 @@
                 # Retransmit, together with notices queued in the meantime.
                 continue
             del self._notices[: len(notices)]
-            if not self._notices:
+            if not any(map(_is_urgent, self._notices)):
                 self._has_notices.clear()
 
 
+def _is_urgent(notice: Notice) -> bool:
+    """Return whether *notice* is sent at once; an answered start waits for the next message."""
+    return not isinstance(notice, StartOrdered) or not notice.is_answered
+
+
 class ExpiredSession(NamedTuple):
     """A session that expired at ``ended_ms`` by the owner's clock."""
 
--- a/tests/test_owners_bound_tasks.py
+++ b/tests/test_owners_bound_tasks.py
@@ -150,7 +150,7 @@
         state, name, run_id = _owner_with_unanswered_start(born_ms=0)
         state.handle_unanswered_poll(name)
         assert _started_on(state, 290.0) == []
-        state.handle_other_id(name, 295.0)
+        state.handle_other_id(name, 0, 295.0)
         assert _started_on(state, 300.0) == [(_other(name), 2)]
         assert EndpointBinding(run_id, name, is_lifted=True) in state.actions.pop_reports()
 
@@ -158,14 +158,14 @@
         """The incarnation has ended, also in a service that reuses ids."""
         state, name, _ = _owner_with_unanswered_start()
         state.note_reused_ids("svc")
-        state.handle_other_id(name, 290.0)
+        state.handle_other_id(name, 1, 290.0)
         state.handle_unanswered_poll(name)
         assert _started_on(state, 300.0) == [(_other(name), 2)]
 
     def test_after_another_id(self) -> None:
         """Each incarnation has its own id in a service in which another id has answered."""
         state, name, _ = _owner_with_unanswered_start(born_ms=0)
-        state.handle_other_id(_other(name), 290.0)
+        state.handle_other_id(_other(name), 0, 290.0)
         state.handle_unanswered_poll(name)
         state.update_endpoint(endpoint("w3"))
         _report(state, "w3", 295.0)
@@ -174,7 +174,7 @@
     def test_first_birth_after_another_id(self) -> None:
         """The first birth shows that the ids are reused from now on."""
         state, name, run_id = _owner_with_unanswered_start(born_ms=0)
-        state.handle_other_id(_other(name), 290.0)
+        state.handle_other_id(_other(name), 0, 290.0)
         state.handle_unanswered_poll(name)
         state.actions.pop_reports()
         state.note_reused_ids("svc")
@@ -187,7 +187,7 @@
         """A birth outweighs another id at an address, which may have been passed on."""
         state, name, _ = _owner_with_unanswered_start(born_ms=0)
         state.note_reused_ids("svc")
-        state.handle_other_id(_other(name), 290.0)
+        state.handle_other_id(_other(name), 0, 290.0)
         state.handle_unanswered_poll(name)
         state.update_endpoint(endpoint("w3"))
         _report(state, "w3", 295.0)
