--- a/tests/models/late_orders.py
+++ b/tests/models/late_orders.py
@@ -13,7 +13,14 @@
 from foldloom.seed_discovery.jobs.spec import RunId
 from models.standing_boxes import PausableZonesWorld
 from models.virtual_time import PausableLoop, run_in_virtual_time
-
+from models.zones_world import CONTROLLER, ZONES
+
+JOB = "c" * 16
+TASK_MS = 400.0
+# From the first start order to the next event: its call has timed out, and the stop is confirmed.
+UNANSWERED_S = 0.3
+RESUBMIT_AFTER_S = 0.02
+NEVER_MS = 1e5
 _SETTLE_S = 1.0
 # From the start on another endpoint to the restart of the first one; well below the task's time.
 _RESTART_AFTER_S = 0.05
@@ -76,10 +83,38 @@
         self.restart_endpoint(self._first_endpoint)
         self._late_order()
 
+    async def kill_owner(self, after_s: float, cut_after_s: float = NEVER_MS) -> None:
+        """Submit a job, and kill its owner *after_s* after the start order; await the answer.
+
+        The endpoint falls silent then. The owner may be cut off from all boxes before.
+        """
+        owner, other = self.boxes_in(ZONES[0])
+        call = asyncio.create_task(self.call(other, JOB, 1, TASK_MS, NEVER_MS))
+        await self.ordered.wait()
+        others = {box for box in [*self.boxes, CONTROLLER] if box != owner}
+        links = {(owner, box) for box in others}
+        self._call_later(cut_after_s, lambda: self.conditions.cuts.update(links))
+        await asyncio.sleep(after_s)
+        self.kill_box(owner)
+        self.silence_endpoint()
+        await call
+
+    async def submit_twice(self, leave_after_s: float) -> None:
+        """Submit a job, disconnect *leave_after_s* later, and submit it in the other zone."""
+        first, second = (self.boxes_in(zone)[1] for zone in ZONES)
+        await self.call(first, JOB, 1, TASK_MS, leave_after_s * 1_000)
+        assert self.ordered.is_set()
+        await asyncio.sleep(RESUBMIT_AFTER_S)
+        await self.call(second, JOB, 1, TASK_MS, NEVER_MS)
+
     def report_births(self) -> None:
         """Restart all endpoints, so that each reports its birth."""
         for name in self.endpoints:
-            self.tell(self.restart_endpoint(name))
+            self.report_birth(name)
+
+    def report_birth(self, name: str) -> None:
+        """Restart an endpoint, and report its birth."""
+        self.tell(self.restart_endpoint(name))
 
     def boxes_in(self, zone: str) -> tuple[str, str]:
         """Return the owner of *zone* and its other box."""
--- a/tests/test_owners_first_births.py
+++ b/tests/test_owners_first_births.py
@@ -11,16 +11,9 @@
 
 import pytest
 
-from models.late_orders import LateOrderWorld, run_scenario
+from models.late_orders import JOB, NEVER_MS, TASK_MS, UNANSWERED_S, LateOrderWorld, run_scenario
 from models.zones_world import ZONES
 
-_JOB = "c" * 16
-_TASK_MS = 400.0
-# From the first start order to the next event: its call has timed out, and the stop is confirmed.
-_UNANSWERED_S = 0.3
-_RESUBMIT_AFTER_S = 0.02
-_NEVER_MS = 1e5
-
 
 @pytest.mark.parametrize("seed", range(8))
 class TestFirstBirth:
@@ -31,7 +24,7 @@
 
         async def scenario(world: LateOrderWorld) -> None:
             box = world.boxes_in(ZONES[0])[1]
-            call = asyncio.create_task(world.call(box, _JOB, 1, _TASK_MS, _NEVER_MS))
+            call = asyncio.create_task(world.call(box, JOB, 1, TASK_MS, NEVER_MS))
             await world.ordered.wait()
             world.silence_endpoint()
             await call
@@ -42,14 +35,9 @@
 
     def test_submitted_again_in_the_other_zone(self, seed: int) -> None:
         """The caller disconnects before any birth is reported, and submits the job elsewhere."""
-
-        async def scenario(world: LateOrderWorld) -> None:
-            first, second = (world.boxes_in(zone)[1] for zone in ZONES)
-            await world.call(first, _JOB, 1, _TASK_MS, _UNANSWERED_S * 1_000)
-            await asyncio.sleep(_RESUBMIT_AFTER_S)
-            await world.call(second, _JOB, 1, _TASK_MS, _NEVER_MS)
-
-        world = run_scenario(seed, scenario, are_births_known=False)
+        world = run_scenario(
+            seed, lambda world: world.submit_twice(UNANSWERED_S), are_births_known=False
+        )
         assert world.doubled == []
         assert world.answers[-1].is_completed
 
@@ -60,11 +48,8 @@
         """
 
         async def scenario(world: LateOrderWorld) -> None:
-            first, second = (world.boxes_in(zone)[1] for zone in ZONES)
-            await world.call(first, _JOB, 1, _TASK_MS, _UNANSWERED_S * 1_000)
-            world.tell(world.restart_endpoint(f"w-{ZONES[1]}0"))
-            await asyncio.sleep(_RESUBMIT_AFTER_S)
-            await world.call(second, _JOB, 1, _TASK_MS, _NEVER_MS)
+            world.loop.call_later(UNANSWERED_S, world.report_birth, f"w-{ZONES[1]}0")
+            await world.submit_twice(UNANSWERED_S)
 
         world = run_scenario(seed, scenario, are_births_known=False)
         assert world.doubled == []
