--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -305,6 +305,13 @@
         "pass",
         "tests/test_owners_bound_tasks.py::TestPlacement::test_another_id_at_its_address",
     ),
+    Mutation(
+        "a start is sent only to an endpoint that responds",
+        "seed_discovery/owners/order_sender.py",
+        "not await link.is_responding()",
+        "False",
+        "tests/test_owners_silent_start.py",
+    ),
     Mutation(
         "boxes know of start orders in flight",
         "seed_discovery/owners/order_sender.py",
--- a/src/foldloom/seed_discovery/endpoints/calls.py
+++ b/src/foldloom/seed_discovery/endpoints/calls.py
@@ -31,6 +31,8 @@
     OTHER_LIFE = "other-life"
     NO_LISTENER = "no-listener"
     """Connection refused: the endpoint has crashed or exited, and the call had no effect."""
+    NOT_SENT = "not-sent"
+    """The call was not made, because the endpoint did not respond to a check before it."""
     UNKNOWN = "unknown"
 
 
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -31,6 +31,9 @@
 # An endpoint gets no new runs while an answer is overdue by more than this; well above a round trip
 # in the zone.
 SUSPECT_AFTER_MS = 80
+# Age up to which an answer shows that the endpoint is responding: about a round trip in the zone.
+# Runs that are placed when the answer arrives need no check.
+_RECENT_ANSWER_MS = 2.0
 
 
 class LeaseDurations(NamedTuple):
@@ -130,6 +133,9 @@
         self.clock = EndpointClock()
         self.answered_ms = monotonic_ms()
         self.born_ms = born_ms
+        # When the endpoint sent its newest answer; own monotonic clock.
+        self._responded_ms = float("-inf")
+        self._check: asyncio.Task[bool] | None = None
         self._lease_durations = lease_durations
         self._calls = calls
         self._owner = owner
@@ -178,6 +184,23 @@
         self._is_expiry_taken = True
         return True
 
+    def note_answer(self, clock_ms: float, now_ms: float) -> None:
+        """Record an answer of this incarnation to any call, with its reading of the clock."""
+        responded_ms = now_ms - self.clock.reading_age_ms(clock_ms, now_ms)
+        self._responded_ms = max(self._responded_ms, responded_ms)
+        self.clock.note(clock_ms, now_ms)
+
+    async def is_responding(self) -> bool:
+        """Return whether the endpoint has answered just now, or answers a check in time.
+
+        Concurrent callers share one check.
+        """
+        if monotonic_ms() - self._responded_ms <= _RECENT_ANSWER_MS:
+            return True
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._check_response())
+        return await asyncio.shield(self._check)
+
     async def run(self) -> None:
         """Poll until cancelled, or until this incarnation has ended or been replaced."""
         backoff_s = _BACKOFF_MIN_S
@@ -199,14 +222,42 @@
             if reply.outcome is CallOutcome.FENCED:
                 self._owner.note_fenced(self.record.endpoint)
             elif reply.outcome is CallOutcome.OTHER_LIFE:
-                self._is_over = True
-                self._owner.note_incarnation_ended(self.record.endpoint, self.born_ms)
+                self._end()
                 return
             else:
                 self._note_silent(reply)
             await self._pause(backoff_s)
             backoff_s = min(backoff_s * 2, _BACKOFF_MAX_S)
 
+    async def _check_response(self) -> bool:
+        """Poll without effect on the endpoint; return whether this incarnation answers in time."""
+        endpoint = self.record.endpoint
+        order = PollOrder(self._lease_durations.token, 0, 0, 0)
+        try:
+            async with asyncio.timeout(SUSPECT_AFTER_MS / 1_000):
+                reply = await self._calls.poll(self.record, order)
+        except TimeoutError:
+            self._owner.note_overdue(endpoint, "check")
+            return False
+        answer_source = self.answer_source(reply.born_ms)
+        if answer_source is AnswerSource.NEXT:
+            self._owner.note_next_incarnation(endpoint, reply.born_ms)
+            return False
+        if reply.outcome is CallOutcome.FENCED:
+            self._owner.note_fenced(endpoint)
+        elif reply.outcome is CallOutcome.OTHER_LIFE:
+            self._end()
+        elif reply.outcome is CallOutcome.DONE and answer_source is AnswerSource.THIS:
+            self.note_answer(reply.clock_ms, monotonic_ms())
+            return True
+        self._owner.note_overdue(endpoint, "check")
+        return False
+
+    def _end(self) -> None:
+        """Report that this incarnation has ended."""
+        self._is_over = True
+        self._owner.note_incarnation_ended(self.record.endpoint, self.born_ms)
+
     async def _pause(self, backoff_s: float) -> None:
         self._last_poll_succeeded = False
         await asyncio.sleep(backoff_s)
@@ -244,7 +295,7 @@
 
     def _handle_reply(self, reply: PollReply, sent_ms: float) -> None:
         now_ms = monotonic_ms()
-        self.clock.note(reply.clock_ms, now_ms)
+        self.note_answer(reply.clock_ms, now_ms)
         self.answered_ms = now_ms
         self.born_ms = self.born_ms or reply.born_ms
         self._last_poll_succeeded = True
--- a/src/foldloom/seed_discovery/owners/lease.py
+++ b/src/foldloom/seed_discovery/owners/lease.py
@@ -44,6 +44,16 @@
             self._received_ms = received_ms
             self._is_known = True
 
+    def reading_age_ms(self, clock_ms: float, received_ms: float) -> float:
+        """Return how long before *received_ms* the endpoint read *clock_ms*, infinite if unknown.
+
+        Measured against earlier readings, so that an answer that waited for this process, which was
+        paused, is not taken for a recent one.
+        """
+        if not self._is_known:
+            return float("inf")
+        return max(0.0, self.reads_at_least(received_ms) - clock_ms)
+
     def reads_at_least(self, now_ms: float) -> float:
         """Return a lower bound of the endpoint's clock at *now_ms*."""
         return self._clock_ms + (now_ms - self._received_ms) * _CLOCK_RATE_MIN
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -1,8 +1,9 @@
 # SPDX-License-Identifier: MIT
 """Sends start and stop orders to endpoints, and logs them.
 
-Owns the start calls in flight. Whether a run still has a holder, and whether its endpoint's lease
-may be renewed, is checked immediately before the call.
+Owns the start calls in flight. A start order can't be taken back, and an unanswered one delays its
+task, so it is sent only to an endpoint that has answered just before. Whether a run still has a
+holder, and whether its endpoint's lease may be renewed, is checked immediately before the call.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from foldloom.seed_discovery.owners.messages import StartOrdered
 from foldloom.seed_discovery.owners.sessions import Sessions
 from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.scheduling.runs import RunState
 
 
 class OrderSender:
@@ -68,7 +70,8 @@
     def begin_start(self, action: StartAction, on_answer: Callable[[], None]) -> None:
         """Send a start order in the background; call *on_answer* after its reply is handled.
 
-        *on_answer* is not called if the order is not sent.
+        It is also called if the endpoint does not respond, and otherwise not if the order is not
+        sent.
         """
         task = asyncio.get_running_loop().create_task(self._start(action, on_answer))
         self._starts[task] = action.endpoint
@@ -82,8 +85,16 @@
 
     async def _start(self, action: StartAction, on_answer: Callable[[], None]) -> None:
         link = self._links.get(action.endpoint)
+        if link is not None and not await link.is_responding():
+            outcome = CallOutcome.NOT_SENT
+            self._log_refusal(action, CallReply(outcome, detail="the endpoint does not respond"))
+            self._state.handle_start_outcome(
+                action.run_id, action.endpoint, outcome, monotonic_ms()
+            )
+            on_answer()
+            return
         now_ms = monotonic_ms()
-        may_start = self._may_start(action, now_ms)
+        may_start = link is self._links.get(action.endpoint) and self._may_start(action, now_ms)
         until_ms = 0 if link is None or not may_start else link.order_until(now_ms)
         if link is None or until_ms == 0 or self._is_closed:
             self._state.handle_start_outcome(
@@ -150,18 +161,18 @@
         if answer_source is AnswerSource.NEXT:
             self._owner.note_next_incarnation(link.record.endpoint, reply.born_ms)
         elif answer_source is AnswerSource.THIS and reply.clock_ms:
-            link.clock.note(reply.clock_ms, now_ms)
+            link.note_answer(reply.clock_ms, now_ms)
 
     def _may_start(self, action: StartAction, now_ms: float) -> bool:
-        """Return whether the run has a holder with a valid session, and its lease may be renewed.
+        """Return whether the run is still to be started for a holder with a valid session.
 
-        Checked immediately before the call, since sessions may have expired during a pause of this
-        process. A start renews the lease of its whole endpoint.
+        The endpoint's lease must be renewable, since a start renews it. Checked immediately before
+        the call, since sessions may have expired during a pause of this process.
         """
         run = self._state.current_run(action.run_id.task)
-        has_live_holder = run is not None and any(
-            self._sessions.has_session(holder, now_ms) for holder in run.holders
-        )
+        if run is None or run.run_id != action.run_id or run.state is not RunState.STARTING:
+            return False
+        has_live_holder = any(self._sessions.has_session(holder, now_ms) for holder in run.holders)
         return has_live_holder and self._owner.may_renew(action.endpoint, now_ms)
 
     def _log_start(
--- a/tests/models/late_orders.py
+++ b/tests/models/late_orders.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import contextvars
-import random
 from collections.abc import Callable
 from typing import Any
 
 from foldloom.seed_discovery.endpoints.calls import CallOutcome, CallReply, StartOrder
 from foldloom.seed_discovery.jobs.spec import RunId
-from models.standing_boxes import PausableZonesWorld
-from models.virtual_time import PausableLoop, run_in_virtual_time
+from models.settled_zones import NEVER_MS, SettledZonesWorld, run_in_settled_zones
+from models.virtual_time import PausableLoop
 from models.zones_world import CONTROLLER, ZONES
 
 JOB = "c" * 16
@@ -20,15 +19,13 @@
 # From the first start order to the next event: its call has timed out, and the stop is confirmed.
 UNANSWERED_S = 0.3
 RESUBMIT_AFTER_S = 0.02
-NEVER_MS = 1e5
-_SETTLE_S = 1.0
 # From the start on another endpoint to the restart of the first one; well below the task's time.
 _RESTART_AFTER_S = 0.05
 # How long the first endpoint is silent at most: longer than a new owner waits for its report.
 _SILENCE_MAX_S = 1.8
 
 
-class LateOrderWorld(PausableZonesWorld):
+class LateOrderWorld(SettledZonesWorld):
     """Zones in which the first start order stays unanswered.
 
     It is executed by the endpoint's next incarnation, which begins while the task runs on another
@@ -119,38 +116,9 @@
         await asyncio.sleep(RESUBMIT_AFTER_S)
         await self.call(second, JOB, 1, TASK_MS, NEVER_MS)
 
-    def report_births(self) -> None:
-        """Restart all endpoints, so that each reports its birth."""
-        for name in self.endpoints:
-            self.report_birth(name)
-
-    def report_birth(self, name: str) -> None:
-        """Restart an endpoint, and report its birth."""
-        self.tell(self.restart_endpoint(name))
-
-    def boxes_in(self, zone: str) -> tuple[str, str]:
-        """Return the owner of *zone* and its other box."""
-        names = [name for name, box in self.boxes.items() if box.zone == zone]
-        names.sort(key=lambda name: self.boxes[name].elector.owner is None)
-        return names[0], names[1]
-
 
 def run_scenario(
     seed: int, scenario: Callable[[LateOrderWorld], Any], are_births_known: bool = True
 ) -> LateOrderWorld:
     """Play *scenario* in settled zones, whose endpoints report births if *are_births_known*."""
-    loop = PausableLoop(random.Random(seed))
-    random.seed(seed)
-
-    async def play() -> LateOrderWorld:
-        world = LateOrderWorld(seed, loop)
-        await asyncio.sleep(_SETTLE_S)
-        if are_births_known:
-            world.report_births()
-        await asyncio.sleep(_SETTLE_S)
-        await scenario(world)
-        assert world.errors == []
-        return world
-
-    world: LateOrderWorld = run_in_virtual_time(play(), loop)
-    return world
+    return run_in_settled_zones(LateOrderWorld, seed, scenario, are_births_known)
--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -267,7 +267,10 @@
             case "/foldloom/run-stop":
                 return self._stop(body)
             case "/foldloom/hold":
-                return await self._hold(body)
+                response = await self._hold(body)
+                if self.is_silent:
+                    await self._is_stopped.wait()
+                return response
         return web.Response(status=404)
 
     def _start(self, body: dict[str, Any]) -> web.Response:
--- a/tests/test_owners_zone_owner.py
+++ b/tests/test_owners_zone_owner.py
@@ -23,6 +23,8 @@
 
 _ZONE = "z"
 OWNER_TOKEN = 5
+# Until a submitted run is ordered to start, the check of its endpoint included.
+_ORDERED_S = 0.02
 _ENDPOINT = EndpointRecord("w1", "svc", "w1:1", _ZONE, Demand(16_000, 32_000, 0))
 
 
@@ -115,7 +117,7 @@
     """Submit a job from box 1 and let the owner's tasks run."""
     _acknowledge(owner, 1, monotonic_ms())
     owner.submit(_record(1).box, _submission(number))
-    await asyncio.sleep(0.001)
+    await asyncio.sleep(_ORDERED_S)
 
 
 def _run(test: Coroutine[Any, Any, None]) -> None:
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -12,8 +12,13 @@
 
 from foldloom.cli.explain import explain, read_lines
 from platform_system import Answer, PlatformSystem, job_id, play, steps
+from soak_same_id import restart_at
 
 _FAILOVER_TIMEOUT_MS = 3_000
+# Until all boxes know of restarted endpoints, and the leases of their predecessors are over.
+_REDISCOVERED_S = 3.0
+# Longer than an answer counts as recent, and shorter than a poll waits.
+_IDLE_S = 0.05
 
 
 def _invalid_job(**changes: Any) -> dict[str, Any]:
@@ -284,3 +289,36 @@
             assert [answer.status for answer in answers] == [200] * 4
 
         play(scenario, tmp_path)
+
+    @pytest.mark.parametrize("are_births_known", [False, True])
+    @pytest.mark.parametrize("silent_s", [0.0, 0.15])
+    def test_silent_before_the_start(
+        self, tmp_path: Path, silent_s: float, are_births_known: bool
+    ) -> None:
+        """Guards against 504 for jobs whose start meets an endpoint that has just fallen silent.
+
+        It must be the endpoint that would get the tasks, and it falls silent *silent_s* before.
+        """
+
+        async def scenario(system: PlatformSystem) -> None:
+            if are_births_known:
+                for index in range(len(system.endpoints)):
+                    await restart_at(system, index)
+                await asyncio.sleep(_REDISCOVERED_S)
+            starts_before = [endpoint.starts for endpoint in system.endpoints]
+            await system.submit("e0", 0, steps())
+            (preferred,) = (
+                endpoint
+                for endpoint, starts in zip(system.endpoints, starts_before, strict=True)
+                if endpoint.starts > starts
+            )
+            await asyncio.sleep(_IDLE_S)
+            preferred.is_silent = True
+            await asyncio.sleep(silent_s)
+            numbers = range(1, 5)
+            answers = await asyncio.gather(
+                *(system.submit("e0", number, steps(ms=300)) for number in numbers)
+            )
+            assert [answer.status for answer in answers] == [200] * 4
+
+        play(scenario, tmp_path)
