--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -303,7 +303,14 @@
         "seed_discovery/owners/state.py",
         "self._unanswered_starts.discard_all(endpoint)",
         "pass",
-        "tests/test_owners_bound_tasks.py::TestPlacement::test_another_id_at_its_address",
+        "tests/test_owners_bound_tasks.py::TestPlacement::test_another_id_in_place_of_a_birth",
+    ),
+    Mutation(
+        "another id frees all tasks of its service",
+        "seed_discovery/owners/state.py",
+        "self._unanswered_starts.note_new_ids(candidate.record.service)",
+        "pass",
+        "tests/test_owners_bound_tasks.py::TestPlacement::test_after_another_id",
     ),
     Mutation(
         "a start is sent only to an endpoint that responds",
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -220,13 +220,17 @@
         if candidate is not None:
             note_crash(self._lifecycle, candidate, now_ms)
 
-    def handle_other_id(self, endpoint: str, now_ms: float) -> None:
+    def handle_other_id(self, endpoint: str, born_ms: int, now_ms: float) -> None:
         """Handle an answer by another id at the address of *endpoint*.
 
-        The incarnation has ended, and no order meant for it can be executed any more.
+        The incarnation started at *born_ms* (0 if not reported) has ended, and no order meant for
+        it can be executed any more.
         """
         self.handle_crash(endpoint, now_ms)
         self._unanswered_starts.discard_all(endpoint)
+        candidate = self._candidates.get(endpoint)
+        if candidate is not None and not born_ms:
+            self._unanswered_starts.note_new_ids(candidate.record.service)
 
     def handle_lease_expiry(self, endpoint: str, now_ms: float) -> None:
         """Finish the runs on *endpoint*: every lease there has certainly expired."""
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -6,13 +6,17 @@
 until the start order has expired:
 
 - The stop order is retransmitted to each incarnation until confirmed.
-- Where ids are reused, the task is bound to the endpoint: it starts on no other. An incarnation
-  may execute the start order before the owner has discovered it, beside a run elsewhere. On the
-  same endpoint, the task's next attempt excludes the unanswered one. The binding is reported to
-  all boxes, since the task's next owner must keep to it too.
-
-Ids are reused in a service if any of its endpoints, in any zone, has reported a start time.
-Otherwise each incarnation has its own id, and refuses orders that are meant for another.
+- The task is bound to the endpoint: it starts on no other. An incarnation may execute the start
+  order before the owner has discovered it, beside a run elsewhere. On the same endpoint, the task's
+  next attempt excludes the unanswered one. The binding is reported to all boxes, since the task's
+  next owner must keep to it too.
+
+An incarnation that reports no start time may still be followed by one under the same id, which then
+reports the first start time of its service. The task is therefore free only once the endpoint has
+refused or ended the run, or once another id answers at the address of an endpoint that reports no
+start time. That shows that each incarnation of this service has its own id and refuses orders that
+are meant for another; tasks of the service are not bound until one of its endpoints reports a start
+time.
 """
 
 from __future__ import annotations
@@ -58,6 +62,7 @@
         self._pending: dict[StopAction, _UnconfirmedStart] = {}
         self._bound_endpoints: dict[TaskId, str] = {}
         self._services_reusing_ids: set[str] = set()
+        self._services_with_new_ids: set[str] = set()
 
     @property
     def bound_endpoints(self) -> Mapping[TaskId, str]:
@@ -78,7 +83,6 @@
 
         It is reported to all boxes, since its owner may have ended before it could do so.
         """
-        self.note_reused_ids(service)
         stop = StopAction(binding.run_id, binding.endpoint)
         if stop in self._pending:
             return
@@ -104,12 +108,23 @@
 
     def note_reused_ids(self, service: str) -> None:
         """Record that an endpoint of *service* reports its start time."""
-        if service in self._services_reusing_ids:
-            return
         self._services_reusing_ids.add(service)
-        for stop, order in self._pending.items():
-            if order.service == service:
-                self._bind(stop, service)
+        if service not in self._services_with_new_ids:
+            return
+        self._services_with_new_ids.remove(service)
+        for stop in self._orders_of(service):
+            self._bind(stop, service)
+
+    def note_new_ids(self, service: str) -> None:
+        """Record that the id of an endpoint of *service* ended with its incarnation."""
+        if service in self._services_reusing_ids or service in self._services_with_new_ids:
+            return
+        self._services_with_new_ids.add(service)
+        # The newest first, since boxes ignore reports about an earlier attempt.
+        for stop in reversed(self._orders_of(service)):
+            if self._bound_endpoints.get(stop.run_id.task) == stop.endpoint:
+                del self._bound_endpoints[stop.run_id.task]
+                self._actions.report(EndpointBinding(*stop, is_lifted=True))
 
     def next_attempt(self, task: TaskId) -> int:
         """Return the lowest attempt of *task* that excludes its unanswered ones; 1 if none."""
@@ -165,8 +180,11 @@
             del self._pending[stop]
             self._release(stop.run_id.task)
 
+    def _orders_of(self, service: str) -> list[StopAction]:
+        return [stop for stop, order in self._pending.items() if order.service == service]
+
     def _bind(self, stop: StopAction, service: str) -> None:
-        if service not in self._services_reusing_ids:
+        if service in self._services_with_new_ids:
             return
         self._bound_endpoints[stop.run_id.task] = stop.endpoint
         self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -250,7 +250,7 @@
         ENDPOINT_LOG.event("endpoint.life_over", endpoint=endpoint, born_ms=born_ms)
         now_ms = monotonic_ms()
         if not self._is_closed:
-            self._state.handle_other_id(endpoint, now_ms)
+            self._state.handle_other_id(endpoint, born_ms, now_ms)
             self._execute_actions()
         self._context.catalog.end_incarnation(endpoint, born_ms, now_ms)
 
--- a/tests/test_owners_bound_tasks.py
+++ b/tests/test_owners_bound_tasks.py
@@ -17,7 +17,7 @@
     EndpointReport,
 )
 from foldloom.seed_discovery.jobs.spec import RunId
-from foldloom.seed_discovery.owners.messages import EndCause, Objective
+from foldloom.seed_discovery.owners.messages import EndCause, EndpointBinding, Objective
 from foldloom.seed_discovery.owners.state import OwnerState
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId, group_of
@@ -44,8 +44,6 @@
     The present incarnation of the endpoint has confirmed the stop.
     """
     state = owner_with(endpoint("w1", born_ms=born_ms), endpoint("w2", born_ms=born_ms))
-    if born_ms:
-        state.note_reused_ids("svc")
     state.submit(_HOLDER, submission(**changes), 10.0)
     state.place(10.0)
     start = state.actions.pop_starts()[0]
@@ -148,25 +146,64 @@
         assert _started_on(state, 300.0) == [(_other(name), 2)]
 
     def test_id_for_each_incarnation(self) -> None:
-        """No task waits for an endpoint whose id is never used again."""
-        state, name, _ = _owner_with_unanswered_start(born_ms=0)
+        """No task waits for an endpoint once another id answers at its address."""
+        state, name, run_id = _owner_with_unanswered_start(born_ms=0)
         state.handle_unanswered_poll(name)
+        assert _started_on(state, 290.0) == []
+        state.handle_other_id(name, 0, 295.0)
         assert _started_on(state, 300.0) == [(_other(name), 2)]
+        assert EndpointBinding(run_id, name, is_lifted=True) in state.actions.pop_reports()
 
-    def test_another_id_at_its_address(self) -> None:
-        """The incarnation has ended, and no order meant for it is executed any more."""
+    def test_another_id_in_place_of_a_birth(self) -> None:
+        """The incarnation has ended, also in a service that reuses ids."""
         state, name, _ = _owner_with_unanswered_start()
-        state.handle_other_id(name, 290.0)
+        state.note_reused_ids("svc")
+        state.handle_other_id(name, 1, 290.0)
         state.handle_unanswered_poll(name)
         assert _started_on(state, 300.0) == [(_other(name), 2)]
 
-    def test_first_birth_after_the_order(self) -> None:
-        """The first birth that an endpoint of the service reports shows that ids are reused."""
+    def test_after_another_id(self) -> None:
+        """Each incarnation has its own id in a service in which another id has answered."""
         state, name, _ = _owner_with_unanswered_start(born_ms=0)
+        state.handle_other_id(_other(name), 0, 290.0)
         state.handle_unanswered_poll(name)
+        state.update_endpoint(endpoint("w3"))
+        _report(state, "w3", 295.0)
+        assert _started_on(state, 300.0) == [("w3", 2)]
+
+    def test_first_birth_after_another_id(self) -> None:
+        """The first birth shows that the ids are reused from now on."""
+        state, name, run_id = _owner_with_unanswered_start(born_ms=0)
+        state.handle_other_id(_other(name), 0, 290.0)
+        state.handle_unanswered_poll(name)
+        state.actions.pop_reports()
         state.note_reused_ids("svc")
+        assert state.actions.pop_reports() == [EndpointBinding(run_id, name)]
+        state.update_endpoint(endpoint("w3"))
+        _report(state, "w3", 295.0)
+        assert _started_on(state, 300.0) == []
+
+    def test_another_id_after_the_first_birth(self) -> None:
+        """A birth outweighs another id at an address, which may have been passed on."""
+        state, name, _ = _owner_with_unanswered_start(born_ms=0)
+        state.note_reused_ids("svc")
+        state.handle_other_id(_other(name), 0, 290.0)
+        state.handle_unanswered_poll(name)
+        state.update_endpoint(endpoint("w3"))
+        _report(state, "w3", 295.0)
         assert _started_on(state, 300.0) == []
 
+    def test_before_the_first_birth(self) -> None:
+        """The next incarnation may be the first of its service to report its birth."""
+        state, name, run_id = _owner_with_unanswered_start(born_ms=0)
+        assert EndpointBinding(run_id, name) in state.actions.pop_reports()
+        state.handle_unanswered_poll(name)
+        assert _started_on(state, 300.0) == []
+        state.begin_incarnation(name, 400.0)
+        state.update_endpoint(endpoint(name, born_ms=2))
+        _report(state, name, 500.0)
+        assert _started_on(state, 501.0) == [(name, 2)]
+
 
 class TestEnds:
     """A bound task is started again by its owner: its box could deliver it to another zone."""
@@ -196,7 +233,6 @@
     def test_removed_before_the_answer(self) -> None:
         """The endpoint leaves while the answer to the start is awaited."""
         state = owner_with(endpoint("w1", born_ms=1), endpoint("w2", born_ms=1))
-        state.note_reused_ids("svc")
         state.submit(_HOLDER, submission(), 10.0)
         state.place(10.0)
         start = state.actions.pop_starts()[0]
@@ -207,7 +243,6 @@
     def test_refused_after_the_removal(self) -> None:
         """An endpoint that has refused the start will not execute it."""
         state = owner_with(endpoint("w1", born_ms=1), endpoint("w2", born_ms=1))
-        state.note_reused_ids("svc")
         state.submit(_HOLDER, submission(), 10.0)
         state.place(10.0)
         start = state.actions.pop_starts()[0]
--- a/tests/test_owners_first_births.py
+++ b/tests/test_owners_first_births.py
@@ -20,7 +20,7 @@
     """The start order is executed before, or the task moves after, the first reported birth."""
 
     def test_silent_endpoint(self, seed: int) -> None:
-        """Known to fail: the endpoint is silent until its next incarnation begins."""
+        """The endpoint is silent until its next incarnation begins, maybe too late for the job."""
 
         async def scenario(world: LateOrderWorld) -> None:
             box = world.boxes_in(ZONES[0])[1]
@@ -34,7 +34,7 @@
         assert world.answers[-1].is_completed or world.answers[-1].may_have_run
 
     def test_submitted_again_in_the_other_zone(self, seed: int) -> None:
-        """Known to fail: the caller disconnects before any birth, and submits the job elsewhere."""
+        """The caller disconnects before any birth is reported, and submits the job elsewhere."""
         world = run_scenario(
             seed, lambda world: world.submit_twice(UNANSWERED_S), are_births_known=False
         )
--- a/tests/test_owners_same_id.py
+++ b/tests/test_owners_same_id.py
@@ -240,8 +240,8 @@
         assert world.doubled == []
 
 
-# Known to fail, see KNOWN-RED.txt: the start was unanswered, and the task moved to another zone,
-# before any endpoint had reported a birth.
+# Regression: the start was unanswered, and the task moved to another zone, before any endpoint had
+# reported a birth.
 _FIRST_BIRTH_SEEDS = [61]
 
 
