--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -341,6 +341,13 @@
         "pass",
         "tests/test_owners_bound_failover.py",
     ),
+    Mutation(
+        "a box whose session begins receives the earlier reports",
+        "seed_discovery/owners/zone_owner.py",
+        "self._sessions.queue_report(holder, report)",
+        "pass",
+        "tests/test_owners_bound_failover.py",
+    ),
     Mutation(
         "crash counts are reported to the boxes",
         "seed_discovery/owners/crashed_endpoints.py",
--- a/src/foldloom/seed_discovery/owners/crash_records.py
+++ b/src/foldloom/seed_discovery/owners/crash_records.py
@@ -38,6 +38,11 @@
         """Isolation of the tasks with recorded crashes."""
         return self._isolations
 
+    @property
+    def counts(self) -> dict[TaskId, CrashCount]:
+        """The counts, the least recently updated first."""
+        return {task: record.crashes for task, record in self._by_task.items()}
+
     def count_of(self, task: TaskId) -> CrashCount:
         """Return the number of endpoint crashes during runs of *task*."""
         record = self._by_task.get(task)
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -157,20 +157,29 @@
             for known, session in self._sessions.items()
         )
 
-    def grant(self, holder: HolderId, heartbeat_sent_ms: float) -> None:
-        """Begin or renew the session for the heartbeat sent at *heartbeat_sent_ms*."""
+    def grant(self, holder: HolderId, heartbeat_sent_ms: float) -> bool:
+        """Begin or renew the session for the heartbeat sent at *heartbeat_sent_ms*.
+
+        Return whether it begins, so that the box has received none of this term's reports.
+        """
         session = self._sessions.get(holder)
+        is_new = session is None
         if session is None:
             is_renewed_session = holder in self._expired
             session = Session(holder, self._zone, self._token, self._network, is_renewed_session)
             self._sessions[holder] = session
             self._tasks[holder] = asyncio.create_task(session.run())
         session.expires_ms = max(session.expires_ms, heartbeat_sent_ms + self._session_ms)
+        return is_new
 
     def queue_start(self, holder: HolderId, start: StartOrdered) -> None:
         """Queue a start order of one of the holder's runs; dropped if there is no session."""
         self._queue_for(holder, start)
 
+    def queue_report(self, holder: HolderId, report: TaskReport) -> None:
+        """Queue a report for *holder*; dropped if there is no session."""
+        self._queue_for(holder, report)
+
     def queue_end(self, holder: HolderId, end: RunEnd) -> None:
         """Queue a run's end for *holder*; dropped if there is no session."""
         self._queue_for(holder, end)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -26,6 +26,8 @@
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
+    TaskCrashes,
+    TaskReport,
 )
 from foldloom.seed_discovery.owners.orders import handle_start_outcome, handle_stop_outcome
 from foldloom.seed_discovery.owners.recovery import end_lost
@@ -94,6 +96,13 @@
         """Return the current run of *task*, if any."""
         return self._lifecycle.get(task)
 
+    @property
+    def task_reports(self) -> list[TaskReport]:
+        """The crash counts and bindings of all tasks, as reported to the boxes."""
+        counts = self._lifecycle.crashes.counts
+        crashes = [TaskCrashes(task, count) for task, count in counts.items()]
+        return [*crashes, *self._unanswered_starts.bindings]
+
     def crashes_of(self, task: TaskId) -> CrashCount:
         """Return the number of endpoint crashes during runs of *task*."""
         return self._lifecycle.crashes.count_of(task)
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -69,6 +69,16 @@
         """The bound tasks, each with the only endpoint on which it may start."""
         return self._bound_endpoints
 
+    @property
+    def bindings(self) -> list[EndpointBinding]:
+        """The bindings, each with its newest order."""
+        newest = {
+            stop.run_id.task: EndpointBinding(stop.run_id, stop.endpoint)
+            for stop in self._pending
+            if self._bound_endpoints.get(stop.run_id.task) == stop.endpoint
+        }
+        return list(newest.values())
+
     def add(self, run_id: RunId, endpoint: str, service: str, now_ms: float) -> None:
         """Record an unanswered start order whose run is being stopped or has ended."""
         self.expire(now_ms)
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -209,7 +209,9 @@
         now_ms = monotonic_ms()
         for earlier in self._sessions.end_other_incarnations(holder):
             self._state.end_session(earlier, now_ms)
-        self._sessions.grant(holder, ack.heartbeat_sent_ms)
+        if self._sessions.grant(holder, ack.heartbeat_sent_ms):
+            for report in self._state.task_reports:
+                self._sessions.queue_report(holder, report)
 
     def may_renew(self, endpoint: str, now_ms: float) -> bool:
         """Return whether the lease of *endpoint* may be renewed.
--- a/tests/models/late_orders.py
+++ b/tests/models/late_orders.py
@@ -19,6 +19,10 @@
 # From the first start order to the next event: its call has timed out, and the stop is confirmed.
 UNANSWERED_S = 0.3
 RESUBMIT_AFTER_S = 0.02
+# Time by which the start order is sent after the submission.
+UNTIL_ORDER_S = 0.005
+# Until a restarted box has sessions with all owners.
+_REJOINED_S = 0.3
 # From the start on another endpoint to the restart of the first one; well below the task's time.
 _RESTART_AFTER_S = 0.05
 # How long the first endpoint is silent at most: longer than a new owner waits for its report.
@@ -96,9 +100,10 @@
         self.silence_endpoint()
         await call
 
-    async def kill_submitting_owner(self, after_s: float) -> None:
-        """Submit a job to its owner's box and kill that box; submit the job to the other box."""
+    async def kill_submitting_owner(self, after_s: float, zone: str = ZONES[0]) -> None:
+        """Submit a job to its owner's box and kill that box; submit it to another box in *zone*."""
         owner, other = self.boxes_in(ZONES[0])
+        target = other if zone == ZONES[0] else self.boxes_in(zone)[1]
         call = asyncio.create_task(self.call(owner, JOB, 1, TASK_MS, NEVER_MS))
         await self.ordered.wait()
         await asyncio.sleep(after_s)
@@ -106,7 +111,33 @@
         self.silence_endpoint()
         await call
         await asyncio.sleep(RESUBMIT_AFTER_S)
-        await self.call(other, JOB, 1, TASK_MS, NEVER_MS)
+        await self.call(target, JOB, 1, TASK_MS, NEVER_MS)
+
+    async def kill_owner_and_leave(self, after_s: float, leave_after_s: float, zone: str) -> None:
+        """Kill the owner *after_s* after the start order; disconnect *leave_after_s* later.
+
+        The job is submitted again to a box in *zone*.
+        """
+        owner, other = self.boxes_in(ZONES[0])
+        target = other if zone == ZONES[0] else self.boxes_in(zone)[1]
+        leave_ms = (UNTIL_ORDER_S + after_s + leave_after_s) * 1_000
+        call = asyncio.create_task(self.call(other, JOB, 1, TASK_MS, leave_ms))
+        await self.ordered.wait()
+        await asyncio.sleep(after_s)
+        self.kill_box(owner)
+        self.silence_endpoint()
+        await call
+        await asyncio.sleep(RESUBMIT_AFTER_S)
+        await self.call(target, JOB, 1, TASK_MS, NEVER_MS)
+
+    async def submit_twice_after_restart(self, leave_after_s: float) -> None:
+        """Submit a job, disconnect, and submit it in the other zone to a box that has restarted."""
+        first, second = (self.boxes_in(zone)[1] for zone in ZONES)
+        await self.call(first, JOB, 1, TASK_MS, leave_after_s * 1_000)
+        assert self.ordered.is_set()
+        self.start_box(second)
+        await asyncio.sleep(_REJOINED_S)
+        await self.call(second, JOB, 1, TASK_MS, NEVER_MS)
 
     async def submit_twice(self, leave_after_s: float) -> None:
         """Submit a job, disconnect *leave_after_s* later, and submit it in the other zone."""
--- a/tests/test_owners_bound_failover.py
+++ b/tests/test_owners_bound_failover.py
@@ -30,3 +30,9 @@
         world = run_scenario(seed, lambda world: world.submit_twice(UNANSWERED_S))
         assert world.doubled == []
         assert world.answers[-1].is_completed
+
+    def test_submitted_again_to_a_restarted_box(self, seed: int) -> None:
+        """The box was not there when the binding was reported; its owners report it again."""
+        world = run_scenario(seed, lambda world: world.submit_twice_after_restart(UNANSWERED_S))
+        assert world.doubled == []
+        assert world.answers[-1].is_completed
--- a/tests/test_owners_crash_failover.py
+++ b/tests/test_owners_crash_failover.py
@@ -34,6 +34,8 @@
 _CRASHES_MAX = 2
 # The caller's delay before it submits the job again; above the delay of messages between boxes.
 _RESUBMIT_AFTER_S = 0.01
+# Until a restarted box has sessions with all owners.
+_REJOINED_S = 0.3
 _NEVER_MS = 1e5
 
 
@@ -129,3 +131,17 @@
         world = _run(seed, scenario)
         assert world.crashes <= _CRASHES_MAX
         assert _states(world) == [JobState.FAILED, JobState.FAILED]
+
+    def test_restarted_box(self, seed: int) -> None:
+        """The box in the other zone was not there when the count was reported."""
+
+        async def scenario(world: _CrashingWorld) -> None:
+            first, second = (world.boxes_in(zone)[1] for zone in ZONES)
+            await world.call(first, _JOB, 1, _TASK_MS, _NEVER_MS)
+            world.start_box(second)
+            await asyncio.sleep(_REJOINED_S)
+            await world.call(second, _JOB, 1, _TASK_MS, _NEVER_MS)
+
+        world = _run(seed, scenario)
+        assert world.crashes <= _CRASHES_MAX
+        assert _states(world) == [JobState.FAILED, JobState.FAILED]
