--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -322,10 +322,24 @@
     Mutation(
         "boxes know of start orders in flight",
         "seed_discovery/owners/order_sender.py",
-        "self._notify_holders(link, StartOrdered(action.run_id, action.endpoint))",
+        "self._notify_holders(StartOrdered(action.run_id, action.endpoint))",
         "pass",
         "tests/test_owners_inflight_starts.py::TestOrderInFlight::test_killed_owner",
     ),
+    Mutation(
+        "the likely next owner knows of starts of the owner's box",
+        "seed_discovery/owners/order_sender.py",
+        "self._sessions.queue_owner_start(self._successor, notice)",
+        "pass",
+        "tests/test_owners_inflight_starts.py::TestOrderInFlight::test_killed_owner_with_the_job",
+    ),
+    Mutation(
+        "a box keeps the starts of runs that it has cancelled",
+        "seed_discovery/owners/connection.py",
+        "for start in (start for batch in batches for start in batch.starts_in_flight):",
+        "for start in ():",
+        "tests/test_owners_inflight_starts.py::TestLeftCaller::test_submitted_again",
+    ),
     Mutation(
         "a cancelled start is reported",
         "seed_discovery/owners/lifecycle.py",
--- a/src/foldloom/seed_discovery/owners/cancels.py
+++ b/src/foldloom/seed_discovery/owners/cancels.py
@@ -111,6 +111,7 @@
             except PeerUnreachableError:
                 # Retransmitted; a caller that stops waiting is told that the job may have run.
                 continue
+            connection.note_cancel_answered(withdrawal.job_id)
             if reply.has_started:
                 return CancelAnswer.STARTED
             if monotonic_ms() >= withdrawal.reply_valid_until_ms:
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -100,10 +100,11 @@
         connection.handle_heartbeat(heartbeat, published_version)
 
     async def run(self) -> None:
-        """Report as lost the runs of owners whose grant has expired; runs until cancelled."""
+        """Report the runs and starts of silent owners as lost; runs until cancelled."""
         while True:
             await asyncio.sleep(_LOST_CHECK_S)
             for connection in self._connections.values():
+                connection.report_lost_starts()
                 for run in connection.pop_lost():
                     self._report_lost(connection, run)
 
@@ -222,7 +223,7 @@
         for report in message.crashes:
             self._histories.note_crashes(report, now_ms)
         for binding in message.bindings:
-            self._histories.note_binding(message.zone, binding, now_ms)
+            self._histories.note_binding(message.zone, binding, now_ms, message.token)
         lifted = (
             StartOrdered(binding.run_id, binding.endpoint, is_answered=True)
             for binding in message.bindings
@@ -231,6 +232,9 @@
         for start in (*message.starts, *lifted):
             if connection is not None:
                 connection.note_start(start, message.token)
+        for start in message.owner_starts:
+            if connection is not None:
+                connection.note_owner_start(start, message.token)
         for end in message.ends:
             if connection is not None:
                 self._handle_end(connection, end, message.token or connection.owner.token)
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -27,11 +27,13 @@
 from foldloom.seed_discovery.owners.messages import (
     EndpointBinding,
     RunOrder,
+    RunsEnded,
     StartOrdered,
     SubmitReply,
     SubmitStatus,
 )
 from foldloom.seed_discovery.owners.open_job import OpenJob
+from foldloom.seed_discovery.owners.starts_in_flight import StartsInFlight
 from foldloom.seed_discovery.owners.task_histories import TaskHistories
 from foldloom.seed_discovery.owners.withdrawal import Withdrawal, withdraw
 from foldloom.settings import TimingSettings
@@ -41,6 +43,8 @@
 REPLY_TIMEOUT_MS = 150
 # Back-off after a NOT_OWNER reply; below the heartbeat interval of owners.
 _NOT_OWNER_BACKOFF_S = 0.02
+# Tries to report the bindings of a lost owner to a box, which may be lost too.
+_REPORT_TRIES = 20
 
 
 class LostRun(NamedTuple):
@@ -75,11 +79,13 @@
         self.load = ZoneLoad()
         self._view = view
         self._network = network
+        self._timings = timings
         self._deliveries = deliveries
         self._histories = histories
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
         self._batches: dict[str, list[Batch]] = {}
+        self._starts_in_flight = StartsInFlight()
         self._lost: list[LostRun] = []
         self._has_owner = asyncio.Event()
         self._tasks = TaskSet()
@@ -103,6 +109,8 @@
         self._end_expired_grant(now_ms)
         is_new = heartbeat.owner.token != self._owner.token
         old_right_ms = self._grant.session_left_ms(now_ms)
+        if is_new:
+            self._bind_starts_in_flight()
         self._owner = heartbeat.owner
         self.load = heartbeat.load
         ack = HeartbeatAck(
@@ -123,12 +131,19 @@
         return [batch for batch in self.batches_by_id(job.job_id) if batch.job is job]
 
     def note_start(self, start: StartOrdered, token: int) -> None:
-        """Record a start order of the owner with *token* for one of the open runs."""
+        """Record a start order of the owner with *token* for one of this box's runs."""
         if token != self._owner.token:
             return
+        if start.is_answered:
+            self._starts_in_flight.note(start, monotonic_ms())
         for batch in self.batches_by_id(start.run_id.task.job_id):
             batch.note_start(start)
 
+    def note_owner_start(self, start: StartOrdered, token: int) -> None:
+        """Record a start order of the owner with *token* for a run of the owner's own box."""
+        if token == self._owner.token:
+            self._starts_in_flight.note(start, monotonic_ms())
+
     def pop_lost(self) -> list[LostRun]:
         """Return and drop the runs that ended with an expired grant."""
         self._end_expired_grant(monotonic_ms())
@@ -150,8 +165,23 @@
         if not batches:
             return None
         self._drop_batches(batches)
+        # Until the owner has answered the cancel, nobody else may know of them.
+        for start in (start for batch in batches for start in batch.starts_in_flight):
+            self._starts_in_flight.note(start, monotonic_ms())
         return withdraw(batches, self._owner, self._grant.number)
 
+    def note_cancel_answered(self, job_id: str) -> None:
+        """Record that the owner has stopped the withdrawn runs of a job."""
+        self._starts_in_flight.discard_job(job_id)
+
+    def report_lost_starts(self) -> None:
+        """Bind the tasks of withdrawn runs, and of runs of the owner's box, if it is silent.
+
+        Their jobs may be submitted again in any zone.
+        """
+        if self.silent_ms >= self._timings.owner_silent_ms:
+            self._report_bindings(self._starts_in_flight.pop_bindings(monotonic_ms()))
+
     def is_granted(self, owner: OwnerRecord, grant: int) -> bool:
         """Return whether *owner* is still the owner and *grant* is valid."""
         if owner != self._owner or grant != self._grant.number:
@@ -188,13 +218,13 @@
             jobs=len(self._batches),
             runs=sum(len(batch.orders) for batch in batches),
         )
+        self._bind_starts_in_flight()
         self._batches.clear()
         for batch in batches:
             # Its owner can no longer be queried. This includes batches without open runs, since a
             # run that has ended may have started.
             if batch.has_started or batch.tokens:
                 batch.job.may_have_started = True
-            self._bind_starts_in_flight(batch)
             self._lost.extend(LostRun(batch, order) for order in batch.orders)
             # A delivery still being retransmitted must not reach the owner when it is back.
             batch.clear()
@@ -218,15 +248,40 @@
                 orders = [order._replace(is_resumed=True) for order in batch.orders]
                 if not orders:
                     continue
-                self._bind_starts_in_flight(batch)
                 batch.add(orders)
                 self._tasks.spawn(self._redeliver(batch, orders, old_right_ms, "new owner"))
 
-    def _bind_starts_in_flight(self, batch: Batch) -> None:
-        """Bind the tasks whose start order the previous owner has sent without an answer."""
-        for start in batch.starts_in_flight:
-            binding = EndpointBinding(start.run_id, start.endpoint)
-            self._histories.note_binding(self.zone, binding, monotonic_ms())
+    def _bind_starts_in_flight(self) -> None:
+        """Bind the tasks whose start order the owner, which is lost, has sent without an answer."""
+        bindings = self._starts_in_flight.pop_bindings(monotonic_ms())
+        bindings += [
+            EndpointBinding(start.run_id, start.endpoint)
+            for batches in self._batches.values()
+            for batch in batches
+            for start in batch.starts_in_flight
+        ]
+        self._report_bindings(bindings)
+
+    def _report_bindings(self, bindings: list[EndpointBinding]) -> None:
+        """Record *bindings* of the owner, which is lost, and report them to all other boxes."""
+        token = self._owner.token
+        for binding in bindings:
+            self._histories.note_binding(self.zone, binding, monotonic_ms(), token)
+        if not bindings:
+            return
+        report = RunsEnded(self.zone, [], token, bindings=tuple(bindings))
+        for box in self._view.entries:
+            if box != self._view.own.box:
+                self._tasks.spawn(self._report(box, report))
+
+    async def _report(self, box: str, report: RunsEnded) -> None:
+        for _ in range(_REPORT_TRIES):
+            try:
+                await self._network.request(box, report, REPLY_TIMEOUT_MS)
+                return
+            except PeerUnreachableError:
+                continue
+        PLACE_LOG.event("bindings.not_reported", zone=self.zone, peer=box, tries=_REPORT_TRIES)
 
     async def _redeliver(
         self, batch: Batch, orders: list[RunOrder], right_ms: float, reason: str
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -224,6 +224,8 @@
 class RunsEnded(NamedTuple):
     """Ends of runs and reports on tasks, from an owner to a box; retransmitted until acknowledged.
 
+    A box reports the bindings that a lost owner could not report in the same way.
+
     Args:
         zone: The owner's zone.
         ends: Ends of runs that the box has delivered.
@@ -231,6 +233,8 @@
         crashes: New crash counts, of any box's tasks.
         bindings: New and lifted bindings, of any box's tasks.
         starts: Start orders for runs that the box has delivered.
+        owner_starts: Start orders for runs that only the owner's own box has delivered; sent to the
+            box that acquires the zone if both are lost.
     """
 
     zone: str
@@ -239,6 +243,7 @@
     crashes: tuple[TaskCrashes, ...] = ()
     bindings: tuple[EndpointBinding, ...] = ()
     starts: tuple[StartOrdered, ...] = ()
+    owner_starts: tuple[StartOrdered, ...] = ()
 
 
 class EndsNoted(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -26,7 +26,7 @@
 from foldloom.seed_discovery.owners.messages import StartOrdered
 from foldloom.seed_discovery.owners.sessions import Sessions
 from foldloom.seed_discovery.owners.state import OwnerState
-from foldloom.seed_discovery.scheduling.runs import RunState
+from foldloom.seed_discovery.scheduling.runs import HolderId, RunState
 
 
 class OrderSender:
@@ -37,7 +37,7 @@
         state: The owner's state.
         sessions: The sessions with boxes.
         links: The links to endpoints.
-        context: The endpoint calls and the metrics.
+        context: The endpoint calls, the other boxes and the metrics.
         owner: Decides on lease renewals, and is notified of overdue calls, new incarnations and
             higher tokens.
     """
@@ -56,9 +56,11 @@
         self._sessions = sessions
         self._links = links
         self._calls = context.calls
+        self._view = context.view
         self._metrics = context.metrics
         self._owner = owner
         self._starts: dict[asyncio.Task[None], str] = {}
+        self._successor: HolderId | None = None
         self._is_closed = False
 
     def close(self) -> None:
@@ -67,6 +69,20 @@
         for task in self._starts:
             task.cancel()
 
+    def choose_successor(self, now_ms: float) -> None:
+        """Choose the box to notify of start orders for runs that only this box has delivered.
+
+        It is the zone's candidate that acquires the zone first if this box is lost.
+        """
+        own = self._view.own
+        candidates = (
+            self._sessions.holder_of(box, now_ms)
+            for box in self._view.entry_boxes_in(own.zone)
+            if box != own.box and not self._view.is_leaving(box)
+        )
+        # The candidates are sorted by rank.
+        self._successor = next((holder for holder in candidates if holder is not None), None)
+
     def begin_start(self, action: StartAction, on_answer: Callable[[], None]) -> None:
         """Send a start order in the background; call *on_answer* after its reply is handled.
 
@@ -103,7 +119,7 @@
             return
         self._log_start(action, link, until_ms, now_ms)
         self._metrics.count("runs.started")
-        self._notify_holders(link, StartOrdered(action.run_id, action.endpoint))
+        self._notify_holders(StartOrdered(action.run_id, action.endpoint))
         order = StartOrder(action.run_id, action.task_input, self._token, until_ms)
         overdue_timer = asyncio.get_running_loop().call_later(
             SUSPECT_AFTER_MS / 1_000, self._owner.note_overdue, action.endpoint, "start"
@@ -114,9 +130,7 @@
         now_ms = monotonic_ms()
         self._note_answerer(link, reply, now_ms)
         if reply.outcome is not CallOutcome.UNKNOWN:
-            self._notify_holders(
-                link, StartOrdered(action.run_id, action.endpoint, is_answered=True)
-            )
+            self._notify_holders(StartOrdered(action.run_id, action.endpoint, is_answered=True))
         if reply.outcome is not CallOutcome.DONE:
             self._log_refusal(action, reply)
         if reply.outcome is CallOutcome.FENCED:
@@ -147,13 +161,19 @@
             action.run_id, action.endpoint, reply.outcome, monotonic_ms()
         )
 
-    def _notify_holders(self, link: EndpointLink, notice: StartOrdered) -> None:
-        """Notify the run's holders of a start order, if the endpoint's id may be used again."""
+    def _notify_holders(self, notice: StartOrdered) -> None:
+        """Notify the run's holders of a start order that would bind its task without an answer.
+
+        If the owner's own box is the only holder, the likely successor is notified too.
+        """
         run = self._state.current_run(notice.run_id.task)
-        if run is None or not link.born_ms:
+        if run is None or not self._state.may_bind(run.spec.service):
             return
         for holder in run.holders:
             self._sessions.queue_start(holder, notice)
+        is_of_owner = all(holder.box == self._view.own.box for holder in run.holders)
+        if is_of_owner and self._successor is not None:
+            self._sessions.queue_owner_start(self._successor, notice)
 
     def _note_answerer(self, link: EndpointLink, reply: CallReply, now_ms: float) -> None:
         """Update the link's clock, or report that a later incarnation has answered."""
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -31,8 +31,15 @@
 # Bounds the first message after a partition to some tens of kilobytes.
 _NOTICES_PER_MESSAGE_MAX = 200
 
-Notice = RunEnd | StartOrdered | TaskReport
-"""What an owner tells a box: start or end of one of the box's runs, or a report on any task."""
+
+class OwnerStart(NamedTuple):
+    """A start order for a run that only the owner's own box has delivered."""
+
+    start: StartOrdered
+
+
+Notice = RunEnd | StartOrdered | OwnerStart | TaskReport
+"""What an owner tells a box: start or end of a run, or a report on any task."""
 
 
 class Session:
@@ -92,6 +99,7 @@
                 tuple(notice for notice in notices if isinstance(notice, TaskCrashes)),
                 tuple(notice for notice in notices if isinstance(notice, EndpointBinding)),
                 tuple(notice for notice in notices if isinstance(notice, StartOrdered)),
+                tuple(notice.start for notice in notices if isinstance(notice, OwnerStart)),
             )
             try:
                 await self._network.request(self.holder.box, message, _ACK_TIMEOUT_MS)
@@ -105,7 +113,8 @@
 
 def _is_urgent(notice: Notice) -> bool:
     """Return whether *notice* is sent at once; an answered start waits for the next message."""
-    return not isinstance(notice, StartOrdered) or not notice.is_answered
+    start = notice.start if isinstance(notice, OwnerStart) else notice
+    return not isinstance(start, StartOrdered) or not start.is_answered
 
 
 class ExpiredSession(NamedTuple):
@@ -172,10 +181,21 @@
         session.expires_ms = max(session.expires_ms, heartbeat_sent_ms + self._session_ms)
         return is_new
 
+    def holder_of(self, box: str, now_ms: float) -> HolderId | None:
+        """Return the incarnation of *box* whose session is valid, if any."""
+        for holder in self._sessions:
+            if holder.box == box and self.has_session(holder, now_ms):
+                return holder
+        return None
+
     def queue_start(self, holder: HolderId, start: StartOrdered) -> None:
         """Queue a start order of one of the holder's runs; dropped if there is no session."""
         self._queue_for(holder, start)
 
+    def queue_owner_start(self, holder: HolderId, start: StartOrdered) -> None:
+        """Queue a start order of one of the owner's box; dropped if there is no session."""
+        self._queue_for(holder, OwnerStart(start))
+
     def queue_report(self, holder: HolderId, report: TaskReport) -> None:
         """Queue a report for *holder*; dropped if there is no session."""
         self._queue_for(holder, report)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -96,6 +96,10 @@
         """Return the current run of *task*, if any."""
         return self._lifecycle.get(task)
 
+    def may_bind(self, service: str) -> bool:
+        """Return whether an unanswered start binds a task of *service* to its endpoint."""
+        return self._unanswered_starts.may_bind(service)
+
     @property
     def task_reports(self) -> list[TaskReport]:
         """The crash counts and bindings of all tasks, as reported to the boxes."""
--- a/src/foldloom/seed_discovery/owners/task_histories.py
+++ b/src/foldloom/seed_discovery/owners/task_histories.py
@@ -19,10 +19,18 @@
 
 
 class _ReportedBinding(NamedTuple):
-    """A task's binding to an endpoint of *zone*; expires by the box's monotonic clock."""
+    """A task's binding to an endpoint.
+
+    Args:
+        zone: The endpoint's zone.
+        binding: The binding.
+        token: Token of the owner that reported it or was lost with it; 0 if unknown.
+        expires_ms: By the box's monotonic clock.
+    """
 
     zone: str
     binding: EndpointBinding
+    token: int
     expires_ms: float
 
 
@@ -41,8 +49,10 @@
         else:
             self._crashes.merge(report.task, report.crashes, now_ms)
 
-    def note_binding(self, zone: str, binding: EndpointBinding, now_ms: float) -> None:
-        """Record a binding reported by the owner of *zone*, or remove it if it is lifted."""
+    def note_binding(
+        self, zone: str, binding: EndpointBinding, now_ms: float, token: int = 0
+    ) -> None:
+        """Record a binding of the owner of *zone* with *token*, or remove it if it is lifted."""
         self._expire_bindings(now_ms)
         task, attempt = binding.run_id
         known = self._bindings.get(task)
@@ -52,7 +62,7 @@
         if not binding.is_lifted:
             self._bindings.pop(task, None)
             expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
-            self._bindings[task] = _ReportedBinding(zone, binding, expires_ms)
+            self._bindings[task] = _ReportedBinding(zone, binding, token, expires_ms)
         elif known is not None and known.binding.endpoint == binding.endpoint:
             del self._bindings[task]
 
@@ -63,7 +73,10 @@
         return None if known is None else known.zone
 
     def annotate(self, message: SubmitRuns, zone: str, now_ms: float) -> SubmitRuns:
-        """Return *message* to the owner of *zone* with what it must know about its tasks."""
+        """Return *message* to the owner of *zone* with what it must know about its tasks.
+
+        An owner knows the bindings of its own term best: it may have lifted them since.
+        """
         self._crashes.expire(now_ms)
         self._expire_bindings(now_ms)
         orders, bindings = [], []
@@ -72,7 +85,9 @@
             crashes = order.crashes.merged(self._crashes.count_of(task))
             orders.append(order._replace(crashes=crashes))
             known = self._bindings.get(task)
-            if known is not None and known.zone == zone:
+            if known is None or known.zone != zone:
+                continue
+            if not known.token or known.token != message.token:
                 bindings.append(known.binding)
         return message._replace(orders=orders, bindings=tuple(bindings))
 
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -79,6 +79,10 @@
         }
         return list(newest.values())
 
+    def may_bind(self, service: str) -> bool:
+        """Return whether an unanswered start binds a task of *service*."""
+        return service not in self._services_with_new_ids
+
     def add(self, run_id: RunId, endpoint: str, service: str, now_ms: float) -> None:
         """Record an unanswered start order whose run is being stopped or has ended."""
         self.expire(now_ms)
@@ -194,7 +198,7 @@
         return [stop for stop, order in self._pending.items() if order.service == service]
 
     def _bind(self, stop: StopAction, service: str) -> None:
-        if service in self._services_with_new_ids:
+        if not self.may_bind(service):
             return
         self._bound_endpoints[stop.run_id.task] = stop.endpoint
         self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -278,6 +278,7 @@
                 self._state.mark_catalog_complete()
             self._links.sync_with_catalog(now_ms)
             self._end_expired_sessions(now_ms)
+            self._orders.choose_successor(now_ms)
             # While isolated, another box may own the zone and renew the leases of endpoints that
             # are silent here, so no lease counts as expired (tests/models/owners_model.py).
             if not self.is_isolated:
--- a/tests/test_owners_messages.py
+++ b/tests/test_owners_messages.py
@@ -27,7 +27,7 @@
 _START = StartOrdered(RunId(TaskId(_JOB, 0, 0, 0), 1), "w1")
 _SUBMISSION = submission(bindings=(_BINDING,))
 _CRASHES = TaskCrashes(TaskId(_JOB, 0, 0, 0), CrashCount(2, 1))
-_ENDS = RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,), (_START,))
+_ENDS = RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,), (_START,), (_START,))
 
 
 class TestReleaseBefore:
@@ -37,9 +37,10 @@
         ("message", "fields_before", "absent"),
         [
             (CancelJob(_JOB, 7, 3), 1, (0, 0)),
-            (_ENDS, 2, (0, (), (), ())),
-            (_ENDS, 3, ((), (), ())),
-            (_ENDS, 5, ((),)),
+            (_ENDS, 2, (0, (), (), (), ())),
+            (_ENDS, 3, ((), (), (), ())),
+            (_ENDS, 5, ((), ())),
+            (_ENDS, 6, ((),)),
             (_SUBMISSION, 15, ((),)),
         ],
     )
--- a/tests/test_owners_sessions.py
+++ b/tests/test_owners_sessions.py
@@ -146,3 +146,21 @@
             assert network.received == [orders, RunsEnded("z", [end], _TOKEN, starts=(answered,))]
 
         _run(play())
+
+    def test_order_of_the_owners_box(self) -> None:
+        """It is told apart from the orders for the box's own runs."""
+
+        async def play() -> None:
+            network = _Network()
+            sessions = _sessions(network)
+            sessions.grant(_HOLDER, 0.0)
+            run_id = RunId(TaskId("a" * 16, 0, 0, 0), 1)
+            ordered, answered = (StartOrdered(run_id, "w1", is_it) for is_it in (False, True))
+            sessions.queue_owner_start(_HOLDER, ordered)
+            await asyncio.sleep(0.01)
+            sessions.queue_owner_start(_HOLDER, answered)
+            await asyncio.sleep(0.01)
+            sessions.close()
+            assert network.received == [RunsEnded("z", [], _TOKEN, owner_starts=(ordered,))]
+
+        _run(play())
