--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -22,13 +22,18 @@
 from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.jobs.spec import Demand, RunId, TaskId
 from foldloom.seed_discovery.owners.endpoint_link import (
+    SUSPECT_AFTER_MS,
     AnswerSource,
     EndpointLink,
     LeaseDurations,
     classify_answer,
 )
 from foldloom.seed_discovery.owners.endpoint_links import EndpointLinks
-from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, max_real_duration_ms
+from foldloom.seed_discovery.owners.lease import (
+    LAPSE_MARGIN_MS,
+    EndpointClock,
+    max_real_duration_ms,
+)
 from foldloom.seed_discovery.owners.messages import EndCause
 from foldloom.seed_discovery.owners.state import OwnerState
 from models.virtual_time import VirtualTimeLoop, run_in_virtual_time
@@ -89,6 +94,8 @@
         self.ended: tuple[EndedRun, ...] = ()
         self.is_silent = False
         self.polls: list[PollOrder] = []
+        self.checks_from = 0
+        self.checked_ms = 0.0
 
     async def poll(self, _endpoint: EndpointRecord, order: PollOrder) -> PollReply:
         """Answer after the wait, or time out while silent."""
@@ -426,3 +433,73 @@
 
         run_in_virtual_time(play(), VirtualTimeLoop())
         assert calls.polls[-1].until_ms
+
+
+async def _check(calls: _Calls, owner: _Owner, callers: int, idle_s: float) -> list[bool]:
+    """Run a link until it has been idle for *idle_s*; return what concurrent checks return."""
+    endpoint_calls: Any = calls
+    record = _ENDPOINT._replace(born_ms=_BORN_MS)
+    link = EndpointLink(record, _LEASE_DURATIONS, endpoint_calls, owner, _BORN_MS)
+    task = asyncio.create_task(link.run())
+    while len(calls.polls) < _SETTLED_POLLS:
+        await asyncio.sleep(0.0005)
+    await asyncio.sleep(idle_s)
+    calls.checks_from = len(calls.polls)
+    began_ms = monotonic_ms()
+    responses = await asyncio.gather(*(link.is_responding() for _ in range(callers)))
+    calls.checked_ms = monotonic_ms() - began_ms
+    task.cancel()
+    return responses
+
+
+# The first poll is answered at once, the later ones after their wait; the third has just been sent.
+_SETTLED_POLLS = 3
+_IDLE_S = 0.05
+
+
+class TestCheckBeforeStart:
+    """Guards against starts that are the first order to meet a silent endpoint."""
+
+    def test_recent_answer(self) -> None:
+        """No call is needed right after an answer."""
+        calls = _Calls(_BORN_MS)
+        assert run_in_virtual_time(_check(calls, _Owner(), 1, 0.0), VirtualTimeLoop()) == [True]
+        assert calls.polls[calls.checks_from :] == []
+
+    def test_callers_share_a_check(self) -> None:
+        """It neither renews the lease nor acknowledges ends nor waits."""
+        calls = _Calls(_BORN_MS)
+        responses = run_in_virtual_time(_check(calls, _Owner(), 3, _IDLE_S), VirtualTimeLoop())
+        assert responses == [True] * 3
+        assert calls.polls[calls.checks_from :] == [PollOrder(_LEASE_DURATIONS.token, 0, 0, 0)]
+
+    def test_silent_endpoint(self) -> None:
+        """The owner is notified, and the callers have their answer before a call times out."""
+        calls, owner = _Calls(_BORN_MS), _Owner()
+
+        async def play() -> list[bool]:
+            asyncio.get_running_loop().call_later(0.21, setattr, calls, "is_silent", True)
+            return await _check(calls, owner, 2, _IDLE_S)
+
+        assert run_in_virtual_time(play(), VirtualTimeLoop()) == [False, False]
+        assert owner.overdue == ["check"]
+        assert calls.checked_ms == pytest.approx(SUSPECT_AFTER_MS)
+
+    def test_another_incarnation(self) -> None:
+        """It is reported, and the callers' orders were meant for its predecessor."""
+        calls, owner = _Calls(_BORN_MS), _Owner()
+
+        async def play() -> list[bool]:
+            asyncio.get_running_loop().call_later(0.21, setattr, calls, "born_ms", _BORN_MS + 1)
+            return await _check(calls, owner, 2, _IDLE_S)
+
+        assert run_in_virtual_time(play(), VirtualTimeLoop()) == [False, False]
+        assert owner.incarnations == [_BORN_MS + 1]
+
+    def test_answer_that_was_read_late(self) -> None:
+        """An answer that waited for this process is as old as the clock in it says."""
+        clock = EndpointClock()
+        assert clock.reading_age_ms(500.0, 10.0) == float("inf")
+        clock.note(500.0, 10.0)
+        assert clock.reading_age_ms(510.0, 20.0) == 0.0
+        assert clock.reading_age_ms(510.0, 130.0) == pytest.approx(107.6)
