--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -87,6 +87,8 @@
     candidate = candidates.get(endpoint)
     if candidate is None:
         return
+    if outcome is CallOutcome.NOT_SENT:
+        candidate.unresponsive_at_ms = now_ms
     if outcome in (CallOutcome.OTHER_LIFE, CallOutcome.NO_LISTENER, CallOutcome.NOT_SENT):
         candidate.has_current_report = False
         return
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -265,7 +265,7 @@
             self._unanswered_starts.discard(end.run_id, report.endpoint)
         reconcile(self._lifecycle, candidate, report, now_ms)
         self._last_polled_ms[report.endpoint] = report.polled_ms
-        candidate.has_current_report = candidate.has_current_record(report.born_ms)
+        candidate.has_current_report = candidate.is_current(report)
         candidate.is_silent = False
         candidate.mark_alive()
 
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -5,6 +5,7 @@
 
 from typing import NamedTuple
 
+from foldloom.seed_discovery.endpoints.calls import EndpointReport
 from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.jobs.spec import Demand, TaskId
 from foldloom.seed_discovery.scheduling.endpoint_capacity import EndpointCapacity, fits
@@ -25,6 +26,7 @@
 class ZoneEndpoint:
     """An endpoint as a candidate for placement.
 
+    ``unresponsive_at_ms`` is when it last did not respond to a check before a start.
     ``has_crashed`` is set once the present incarnation is known to have ended; ``lapsed_tasks``
     are the tasks whose leases expired before such a crash was confirmed.
 
@@ -38,6 +40,7 @@
         self.has_current_report = False
         self.is_silent = False
         self.backoff_until_ms = 0.0
+        self.unresponsive_at_ms = 0.0
         self.orphans: dict[TaskId, OrphanedRun] = {}
         self.has_crashed = False
         self.lapsed_tasks: list[TaskId] = []
@@ -72,6 +75,7 @@
         self.has_current_report = False
         self.is_silent = False
         self.backoff_until_ms = 0.0
+        self.unresponsive_at_ms = 0.0
         self.orphans.clear()
         self.mark_alive()
 
@@ -80,13 +84,15 @@
         self.has_crashed = False
         self.lapsed_tasks = []
 
-    def has_current_record(self, born_ms: int) -> bool:
-        """Return whether the record covers the incarnation started at *born_ms*.
+    def is_current(self, report: EndpointReport) -> bool:
+        """Return whether runs may be placed by *report*.
 
-        True if the record has no start time. The capacity and state of an incarnation are unknown
-        until its first heartbeat.
+        The record must cover its incarnation, or have no start time: the capacity and state of an
+        incarnation are unknown until its first heartbeat. A report that was requested before the
+        endpoint did not respond to a check proves nothing about its receiving orders since.
         """
-        return not self.record.born_ms or self.record.born_ms >= born_ms
+        has_record = not self.record.born_ms or self.record.born_ms >= report.born_ms
+        return has_record and report.polled_ms >= self.unresponsive_at_ms
 
     def is_eligible(self, now_ms: float) -> bool:
         """Return whether runs may be placed on it now.
--- a/tests/test_owners_silent_start.py
+++ b/tests/test_owners_silent_start.py
@@ -22,17 +22,24 @@
 _SILENT_S = [0.0, 0.02, 0.15]
 
 
-async def _submit_to_silent_endpoints(world: SettledZonesWorld, silent_s: float) -> None:
-    """Silence all endpoints of a zone but one, and submit jobs there *silent_s* later."""
+async def _submit_to_silent_endpoints(
+    world: SettledZonesWorld, silent_s: float, is_cut_one_way: bool
+) -> None:
+    """Silence all endpoints of a zone but one, and submit jobs there *silent_s* later.
+
+    Their answers to polls that they have received before arrive if *is_cut_one_way*.
+    """
     box = world.boxes_in(ZONES[0])[1]
     names = sorted(record.endpoint for record in world.records if record.zone == ZONES[0])
     world.trouble.deaf.update(names[1:])
-    world.trouble.mute.update(names[1:])
+    if not is_cut_one_way:
+        world.trouble.mute.update(names[1:])
     await asyncio.sleep(silent_s)
     jobs = [f"{number:016x}" for number in range(_JOBS)]
     await asyncio.gather(*(world.call(box, job, 1, _TASK_MS, NEVER_MS) for job in jobs))
 
 
+@pytest.mark.parametrize("is_cut_one_way", [False, True])
 @pytest.mark.parametrize("are_births_known", [False, True])
 @pytest.mark.parametrize("silent_s", _SILENT_S)
 @pytest.mark.parametrize("seed", range(4))
@@ -40,13 +47,13 @@
     """Jobs are submitted just after their endpoints fell silent; another endpoint is free."""
 
     def test_its_tasks_run_elsewhere(
-        self, seed: int, silent_s: float, are_births_known: bool
+        self, seed: int, silent_s: float, are_births_known: bool, is_cut_one_way: bool
     ) -> None:
         """No start is sent to a silent endpoint, with and without births."""
         world = run_in_settled_zones(
             SettledZonesWorld,
             seed,
-            lambda world: _submit_to_silent_endpoints(world, silent_s),
+            lambda world: _submit_to_silent_endpoints(world, silent_s, is_cut_one_way),
             are_births_known,
         )
         assert [answer.is_completed for answer in world.answers] == [True] * _JOBS
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -290,6 +290,25 @@
 
         play(scenario, tmp_path)
 
+    def test_running_tasks(self, tmp_path: Path) -> None:
+        """The endpoint that runs the tasks is the one that stops responding."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            calls = [
+                asyncio.create_task(
+                    system.submit("e0", number, steps(4, ms=300, estimate_ms=2_000))
+                )
+                for number in range(4)
+            ]
+            await asyncio.sleep(0.1)
+            busy = [endpoint for endpoint in system.endpoints if endpoint.simulated.active]
+            assert busy
+            busy[0].is_silent = True
+            answers = await asyncio.gather(*calls)
+            assert [answer.status for answer in answers] == [200] * 4
+
+        play(scenario, tmp_path)
+
     @pytest.mark.parametrize("are_births_known", [False, True])
     @pytest.mark.parametrize("silent_s", [0.0, 0.15])
     def test_silent_before_the_start(
