--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -119,6 +119,8 @@
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         for binding in message.bindings:
             self._unanswered_starts.adopt(binding, message.service, now_ms)
+            # The order of another owner may be executed, whatever becomes of these runs.
+            self._lifecycle.started.note(message.job_id, now_ms + message.deadline_ms)
         self._deliveries.deliver(holder, message, now_ms)
         end_runs_over_crash_limit(self._lifecycle, message, now_ms)
         reply = self._admission.decide(message, now_ms)
--- a/tests/test_owners_bound_tasks.py
+++ b/tests/test_owners_bound_tasks.py
@@ -16,7 +16,7 @@
     EndKind,
     EndpointReport,
 )
-from foldloom.seed_discovery.jobs.spec import RunId
+from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.messages import EndCause, EndpointBinding, Objective
 from foldloom.seed_discovery.owners.state import OwnerState
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
@@ -205,6 +205,24 @@
         assert _started_on(state, 501.0) == [(name, 2)]
 
 
+class TestAnswers:
+    """What a caller is told of a job whose task is bound."""
+
+    def test_order_of_another_owner(self) -> None:
+        """The order may be executed, although this owner has started nothing."""
+        state = owner_with(endpoint("w1", born_ms=1))
+        task = TaskId(submission().job_id, 0, 0, 0)
+        binding = EndpointBinding(RunId(task, 1), "w1")
+        state.submit(_HOLDER, submission(bindings=(binding,)), 10.0)
+        assert state.cancel(_HOLDER, task.job_id, 20.0)
+
+    def test_no_order(self) -> None:
+        """Nothing may have started otherwise."""
+        state = owner_with(endpoint("w1", born_ms=1))
+        state.submit(_HOLDER, submission(), 10.0)
+        assert not state.cancel(_HOLDER, submission().job_id, 20.0)
+
+
 class TestEnds:
     """A bound task is started again by its owner: its box could deliver it to another zone."""
 
