--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -319,6 +319,13 @@
         "False",
         "tests/test_owners_silent_start.py",
     ),
+    Mutation(
+        "a report from before a failed check does not count",
+        "seed_discovery/scheduling/endpoints.py",
+        "if polled_ms >= self.unresponsive_at_ms:",
+        "if True:",
+        "tests/test_owners_silent_start.py",
+    ),
     Mutation(
         "boxes know of start orders in flight",
         "seed_discovery/owners/order_sender.py",
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -90,6 +90,12 @@
     def note_overdue(self, endpoint: str, call: str) -> None:
         """Handle an overdue answer of *endpoint* to a *call*."""
 
+    def note_unresponsive(self, endpoint: str) -> None:
+        """Handle an overdue answer of *endpoint* to a check before a start."""
+
+    def note_responding(self, endpoint: str) -> None:
+        """Handle an answer of *endpoint* to a check before a start."""
+
     def handle_unanswered_poll(self, endpoint: str) -> None:
         """Handle a failed poll of *endpoint*."""
 
@@ -133,7 +139,7 @@
         self.clock = EndpointClock()
         self.answered_ms = monotonic_ms()
         self.born_ms = born_ms
-        # When the endpoint sent its newest answer; own monotonic clock.
+        # When the endpoint last responded; own monotonic clock.
         self._responded_ms = float("-inf")
         self._check: asyncio.Task[bool] | None = None
         self._lease_durations = lease_durations
@@ -185,21 +191,34 @@
         return True
 
     def note_answer(self, clock_ms: float, now_ms: float) -> None:
-        """Record an answer of this incarnation to any call, with its reading of the clock."""
+        """Record an answer of this incarnation that shows that it is responding.
+
+        Args:
+            clock_ms: The endpoint's clock in the answer.
+            now_ms: When the answer was received; own monotonic clock.
+        """
         responded_ms = now_ms - self.clock.reading_age_ms(clock_ms, now_ms)
         self._responded_ms = max(self._responded_ms, responded_ms)
         self.clock.note(clock_ms, now_ms)
 
     async def is_responding(self) -> bool:
-        """Return whether the endpoint has answered just now, or answers a check in time.
+        """Return whether the endpoint has responded just now, or answers a check in time.
 
-        Concurrent callers share one check.
+        Concurrent callers share one check. It goes on after they have stopped waiting, so that an
+        endpoint that is only slow gets runs again at its answer.
         """
         if monotonic_ms() - self._responded_ms <= _RECENT_ANSWER_MS:
             return True
-        if self._check is None or self._check.done():
-            self._check = asyncio.create_task(self._check_response())
-        return await asyncio.shield(self._check)
+        check = self._check
+        if check is None or check.done():
+            check = self._check = asyncio.create_task(self._check_response())
+        await asyncio.wait({check}, timeout=SUSPECT_AFTER_MS / 1_000)
+        return check.done() and not check.cancelled() and check.result()
+
+    def close(self) -> None:
+        """Cancel the check, if any: this link has been replaced, or its owner's term is over."""
+        if self._check is not None:
+            self._check.cancel()
 
     async def run(self) -> None:
         """Poll until cancelled, or until this incarnation has ended or been replaced."""
@@ -230,15 +249,16 @@
             backoff_s = min(backoff_s * 2, _BACKOFF_MAX_S)
 
     async def _check_response(self) -> bool:
-        """Poll without effect on the endpoint; return whether this incarnation answers in time."""
+        """Poll without effect on the endpoint; return whether this incarnation answers."""
         endpoint = self.record.endpoint
         order = PollOrder(self._lease_durations.token, 0, 0, 0)
+        overdue_timer = asyncio.get_running_loop().call_later(
+            SUSPECT_AFTER_MS / 1_000, self._owner.note_unresponsive, endpoint
+        )
         try:
-            async with asyncio.timeout(SUSPECT_AFTER_MS / 1_000):
-                reply = await self._calls.poll(self.record, order)
-        except TimeoutError:
-            self._owner.note_overdue(endpoint, "check")
-            return False
+            reply = await self._calls.poll(self.record, order)
+        finally:
+            overdue_timer.cancel()
         answer_source = self.answer_source(reply.born_ms)
         if answer_source is AnswerSource.NEXT:
             self._owner.note_next_incarnation(endpoint, reply.born_ms)
@@ -248,9 +268,12 @@
         elif reply.outcome is CallOutcome.OTHER_LIFE:
             self._end()
         elif reply.outcome is CallOutcome.DONE and answer_source is AnswerSource.THIS:
-            self.note_answer(reply.clock_ms, monotonic_ms())
+            now_ms = monotonic_ms()
+            self.clock.note(reply.clock_ms, now_ms)
+            self._responded_ms = now_ms
+            self._owner.note_responding(endpoint)
             return True
-        self._owner.note_overdue(endpoint, "check")
+        self._owner.note_unresponsive(endpoint)
         return False
 
     def _end(self) -> None:
@@ -295,7 +318,12 @@
 
     def _handle_reply(self, reply: PollReply, sent_ms: float) -> None:
         now_ms = monotonic_ms()
-        self.note_answer(reply.clock_ms, now_ms)
+        new_ends = tuple(end for end in reply.ended if end.sequence > self._last_sequence)
+        if new_ends:
+            self.note_answer(reply.clock_ms, now_ms)
+        else:
+            # The poll may have been sent long ago, and an idle endpoint can well be checked.
+            self.clock.note(reply.clock_ms, now_ms)
         self.answered_ms = now_ms
         self.born_ms = self.born_ms or reply.born_ms
         self._last_poll_succeeded = True
@@ -303,7 +331,6 @@
             ENDPOINT_LOG.event("endpoint.answers", endpoint=self.record.endpoint)
         self._is_silent = False
         self._is_expiry_taken = False
-        new_ends = tuple(end for end in reply.ended if end.sequence > self._last_sequence)
         if new_ends:
             self._last_sequence = max(end.sequence for end in new_ends)
         report = EndpointReport(self.record.endpoint, reply.active, new_ends, sent_ms, self.born_ms)
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -62,6 +62,8 @@
         """Cancel all tasks."""
         for task in self._tasks.values():
             task.cancel()
+        for link in self._links.values():
+            link.close()
 
     def sync_with_catalog(self, now_ms: float) -> None:
         """Open links to added endpoints and close those to removed ones.
@@ -132,6 +134,7 @@
         # If the previous link's task is the caller, it returns by itself.
         if self._tasks[record.endpoint] is not asyncio.current_task():
             self._tasks[record.endpoint].cancel()
+        link.close()
         self._open(EndpointLink(record, *self._link_args, born_ms, replaces_previous=True))
 
     def _open(self, link: EndpointLink) -> None:
@@ -141,6 +144,6 @@
 
     def _close(self, endpoint: str, now_ms: float) -> None:
         """Drop a removed endpoint; its runs end with it."""
-        del self._links[endpoint]
+        self._links.pop(endpoint).close()
         self._tasks.pop(endpoint).cancel()
         self._state.remove_endpoint(endpoint, now_ms)
--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -81,15 +81,15 @@
 ) -> None:
     """Exclude an endpoint that refused a start from placement for a while.
 
-    One that has another incarnation, has no listener or does not respond is excluded until its next
-    report.
+    One that has another incarnation or no listener is excluded until its next report, and one that
+    does not respond is excluded already.
     """
     candidate = candidates.get(endpoint)
     if candidate is None:
         return
     if outcome is CallOutcome.NOT_SENT:
-        candidate.unresponsive_at_ms = now_ms
-    if outcome in (CallOutcome.OTHER_LIFE, CallOutcome.NO_LISTENER, CallOutcome.NOT_SENT):
+        return
+    if outcome in (CallOutcome.OTHER_LIFE, CallOutcome.NO_LISTENER):
         candidate.has_current_report = False
         return
     backoff_ms = UNHEALTHY_BACKOFF_MS if outcome is CallOutcome.REFUSED else NO_CAPACITY_BACKOFF_MS
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -222,6 +222,23 @@
         if candidate is not None:
             candidate.has_current_report = False
 
+    def note_unresponsive(self, endpoint: str, now_ms: float) -> bool:
+        """Exclude an endpoint that did not answer a check; return whether it was not before."""
+        candidate = self._candidates.get(endpoint)
+        if candidate is None:
+            return False
+        was_unresponsive = candidate.is_unresponsive
+        candidate.unresponsive_at_ms = now_ms
+        return not was_unresponsive
+
+    def note_responding(self, endpoint: str) -> bool:
+        """Include an endpoint that has answered a check; return whether it was excluded before."""
+        candidate = self._candidates.get(endpoint)
+        if candidate is None or not candidate.is_unresponsive:
+            return False
+        candidate.unresponsive_at_ms = 0.0
+        return True
+
     def handle_unanswered_poll(self, endpoint: str) -> None:
         """Handle an unanswered poll of an endpoint."""
         self.exclude_from_placement(endpoint)
@@ -267,7 +284,8 @@
             self._unanswered_starts.discard(end.run_id, report.endpoint)
         reconcile(self._lifecycle, candidate, report, now_ms)
         self._last_polled_ms[report.endpoint] = report.polled_ms
-        candidate.has_current_report = candidate.is_current(report)
+        candidate.has_current_report = candidate.has_current_record(report.born_ms)
+        candidate.note_polled(report.polled_ms)
         candidate.is_silent = False
         candidate.mark_alive()
 
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -237,6 +237,16 @@
             ENDPOINT_LOG.event("endpoint.suspected", endpoint=endpoint, call=call)
             self._state.exclude_from_placement(endpoint)
 
+    def note_unresponsive(self, endpoint: str) -> None:
+        """Exclude *endpoint*, which did not answer a check, from placement until it responds."""
+        if self._state.note_unresponsive(endpoint, monotonic_ms()):
+            ENDPOINT_LOG.event("endpoint.suspected", endpoint=endpoint, call="check")
+
+    def note_responding(self, endpoint: str) -> None:
+        """Place runs on *endpoint* again if it had not answered a check in time."""
+        if not self._is_closed and self._state.note_responding(endpoint):
+            self._execute_actions()
+
     def handle_unanswered_poll(self, endpoint: str) -> None:
         """Handle a failed poll of *endpoint*."""
         self._state.handle_unanswered_poll(endpoint)
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -5,7 +5,6 @@
 
 from typing import NamedTuple
 
-from foldloom.seed_discovery.endpoints.calls import EndpointReport
 from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.jobs.spec import Demand, TaskId
 from foldloom.seed_discovery.scheduling.endpoint_capacity import EndpointCapacity, fits
@@ -26,7 +25,7 @@
 class ZoneEndpoint:
     """An endpoint as a candidate for placement.
 
-    ``unresponsive_at_ms`` is when it last did not respond to a check before a start.
+    ``unresponsive_at_ms`` is when it did not respond to a check before a start; 0 if it has since.
     ``has_crashed`` is set once the present incarnation is known to have ended; ``lapsed_tasks``
     are the tasks whose leases expired before such a crash was confirmed.
 
@@ -50,12 +49,17 @@
         """Whether it is not draining."""
         return self.record.state is EndpointState.READY
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether it has not responded since a check before a start."""
+        return self.unresponsive_at_ms > 0.0
+
     @property
     def is_overdue(self) -> bool:
-        """Whether it is ineligible only because its report is overdue."""
+        """Whether it is ineligible only because a report or the answer to a check is overdue."""
         return (
             self.is_ready
-            and not self.has_current_report
+            and (self.is_unresponsive or not self.has_current_report)
             and not self.is_silent
             and not self.has_crashed
         )
@@ -84,15 +88,21 @@
         self.has_crashed = False
         self.lapsed_tasks = []
 
-    def is_current(self, report: EndpointReport) -> bool:
-        """Return whether runs may be placed by *report*.
+    def has_current_record(self, born_ms: int) -> bool:
+        """Return whether the record covers the incarnation started at *born_ms*.
+
+        True if the record has no start time. The capacity and state of an incarnation are unknown
+        until its first heartbeat.
+        """
+        return not self.record.born_ms or self.record.born_ms >= born_ms
+
+    def note_polled(self, polled_ms: float) -> None:
+        """Record an answered poll that was sent at *polled_ms*.
 
-        The record must cover its incarnation, or have no start time: the capacity and state of an
-        incarnation are unknown until its first heartbeat. A report that was requested before the
-        endpoint did not respond to a check proves nothing about its receiving orders since.
+        One that was sent before a check stayed unanswered proves nothing of orders sent since.
         """
-        has_record = not self.record.born_ms or self.record.born_ms >= report.born_ms
-        return has_record and report.polled_ms >= self.unresponsive_at_ms
+        if polled_ms >= self.unresponsive_at_ms:
+            self.unresponsive_at_ms = 0.0
 
     def is_eligible(self, now_ms: float) -> bool:
         """Return whether runs may be placed on it now.
@@ -101,6 +111,7 @@
         """
         return (
             self.has_current_report
+            and not self.is_unresponsive
             and self.is_ready
             and not self.orphans
             and now_ms >= self.backoff_until_ms
--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -57,6 +57,7 @@
         self.incarnations: list[int] = []
         self.overdue: list[str] = []
         self.silent_count = 0
+        self.responding_count = 0
 
     def may_renew(self, _endpoint: str, _now_ms: float) -> bool:
         """Agree."""
@@ -70,6 +71,14 @@
         """Record the call."""
         self.overdue.append(call)
 
+    def note_unresponsive(self, endpoint: str) -> None:
+        """Record the check."""
+        self.overdue.append("check")
+
+    def note_responding(self, endpoint: str) -> None:
+        """Count answered checks."""
+        self.responding_count += 1
+
     def handle_unanswered_poll(self, endpoint: str) -> None:
         """Count failed polls."""
         self.silent_count += 1
@@ -96,6 +105,8 @@
         self.polls: list[PollOrder] = []
         self.checks_from = 0
         self.checked_ms = 0.0
+        # What changes once the run has ended.
+        self.changes: dict[str, Any] = {}
 
     async def poll(self, _endpoint: EndpointRecord, order: PollOrder) -> PollReply:
         """Answer after the wait, or time out while silent."""
@@ -436,13 +447,17 @@
 
 
 async def _check(calls: _Calls, owner: _Owner, callers: int, idle_s: float) -> list[bool]:
-    """Run a link until it has been idle for *idle_s*; return what concurrent checks return."""
+    """Run a link until *idle_s* after the end of a run; return what concurrent checks return."""
     endpoint_calls: Any = calls
     record = _ENDPOINT._replace(born_ms=_BORN_MS)
     link = EndpointLink(record, _LEASE_DURATIONS, endpoint_calls, owner, _BORN_MS)
     task = asyncio.create_task(link.run())
-    while len(calls.polls) < _SETTLED_POLLS:
+    await asyncio.sleep(_POLL_S)
+    calls.ended = (EndedRun(1, RunId(TaskId("0" * 16, 0, 0, 0), 1), EndKind.DONE),)
+    while not (owner.reports and owner.reports[-1].ended):
         await asyncio.sleep(0.0005)
+    for name, value in calls.changes.items():
+        setattr(calls, name, value)
     await asyncio.sleep(idle_s)
     calls.checks_from = len(calls.polls)
     began_ms = monotonic_ms()
@@ -452,8 +467,6 @@
     return responses
 
 
-# The first poll is answered at once, the later ones after their wait; the third has just been sent.
-_SETTLED_POLLS = 3
 _IDLE_S = 0.05
 
 
@@ -461,7 +474,7 @@
     """Guards against starts that are the first order to meet a silent endpoint."""
 
     def test_recent_answer(self) -> None:
-        """No call is needed right after an answer."""
+        """No call is needed right after the end of a run."""
         calls = _Calls(_BORN_MS)
         assert run_in_virtual_time(_check(calls, _Owner(), 1, 0.0), VirtualTimeLoop()) == [True]
         assert calls.polls[calls.checks_from :] == []
@@ -477,11 +490,9 @@
         """The owner is notified, and the callers have their answer before a call times out."""
         calls, owner = _Calls(_BORN_MS), _Owner()
 
-        async def play() -> list[bool]:
-            asyncio.get_running_loop().call_later(0.21, setattr, calls, "is_silent", True)
-            return await _check(calls, owner, 2, _IDLE_S)
-
-        assert run_in_virtual_time(play(), VirtualTimeLoop()) == [False, False]
+        calls.changes = {"is_silent": True}
+        responses = run_in_virtual_time(_check(calls, owner, 2, _IDLE_S), VirtualTimeLoop())
+        assert responses == [False, False]
         assert owner.overdue == ["check"]
         assert calls.checked_ms == pytest.approx(SUSPECT_AFTER_MS)
 
@@ -489,11 +500,9 @@
         """It is reported, and the callers' orders were meant for its predecessor."""
         calls, owner = _Calls(_BORN_MS), _Owner()
 
-        async def play() -> list[bool]:
-            asyncio.get_running_loop().call_later(0.21, setattr, calls, "born_ms", _BORN_MS + 1)
-            return await _check(calls, owner, 2, _IDLE_S)
-
-        assert run_in_virtual_time(play(), VirtualTimeLoop()) == [False, False]
+        calls.changes = {"born_ms": _BORN_MS + 1}
+        responses = run_in_virtual_time(_check(calls, owner, 2, _IDLE_S), VirtualTimeLoop())
+        assert responses == [False, False]
         assert owner.incarnations == [_BORN_MS + 1]
 
     def test_answer_that_was_read_late(self) -> None:
--- a/tests/test_owners_silent_start.py
+++ b/tests/test_owners_silent_start.py
@@ -20,15 +20,19 @@
 _ANSWER_MAX_MS = 1_200.0
 # From the silence to the submission; a poll is overdue after 80 to 280 ms.
 _SILENT_S = [0.0, 0.02, 0.15]
+# A quarter of a poll's wait.
+_PHASE_S = 0.05
 
 
 async def _submit_to_silent_endpoints(
-    world: SettledZonesWorld, silent_s: float, is_cut_one_way: bool
+    world: SettledZonesWorld, phase_s: float, silent_s: float, is_cut_one_way: bool
 ) -> None:
     """Silence all endpoints of a zone but one, and submit jobs there *silent_s* later.
 
-    Their answers to polls that they have received before arrive if *is_cut_one_way*.
+    The silence begins *phase_s* later, while another part of a poll's wait is left. If
+    *is_cut_one_way*, the answers to polls that were received before arrive.
     """
+    await asyncio.sleep(phase_s)
     box = world.boxes_in(ZONES[0])[1]
     names = sorted(record.endpoint for record in world.records if record.zone == ZONES[0])
     world.trouble.deaf.update(names[1:])
@@ -53,7 +57,9 @@
         world = run_in_settled_zones(
             SettledZonesWorld,
             seed,
-            lambda world: _submit_to_silent_endpoints(world, silent_s, is_cut_one_way),
+            lambda world: _submit_to_silent_endpoints(
+                world, seed * _PHASE_S, silent_s, is_cut_one_way
+            ),
             are_births_known,
         )
         assert [answer.is_completed for answer in world.answers] == [True] * _JOBS
