--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -194,5 +194,6 @@
             metrics=self._metrics,
             published_version=lambda: self._holder.version,
             catalog_age_ms=lambda: monotonic_ms() - self._started_ms,
+            bindings_from_others=self._client.bindings_from_others,
         )
         return ZoneOwner(record, context, self._elector.note_fenced)
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -23,6 +23,7 @@
 from foldloom.seed_discovery.owners.lease import run_expiry_ms
 from foldloom.seed_discovery.owners.messages import (
     EndCause,
+    EndpointBinding,
     EndsNoted,
     RunEnd,
     RunOrder,
@@ -84,6 +85,10 @@
         """Milliseconds since the newest heartbeat of any owner."""
         return min(connection.silent_ms for connection in self._connections.values())
 
+    def bindings_from_others(self, zone: str, token: int) -> list[EndpointBinding]:
+        """Return the bindings to endpoints of *zone* that its owner with *token* did not report."""
+        return self._histories.bindings_from_others(zone, token)
+
     def handle_heartbeat(self, heartbeat: OwnerHeartbeat, published_version: int) -> None:
         """Handle a heartbeat from the owner of any zone."""
         connection = self._connections.get(heartbeat.owner.zone)
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -85,7 +85,9 @@
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
         self._batches: dict[str, list[Batch]] = {}
-        self._starts_in_flight = StartsInFlight()
+        # Of runs that this box has cancelled, and of runs that only the owner's box has delivered.
+        self._cancelled_starts = StartsInFlight()
+        self._owner_starts = StartsInFlight()
         self._lost: list[LostRun] = []
         self._has_owner = asyncio.Event()
         self._tasks = TaskSet()
@@ -135,14 +137,15 @@
         if token != self._owner.token:
             return
         if start.is_answered:
-            self._starts_in_flight.note(start, monotonic_ms())
+            for starts in (self._cancelled_starts, self._owner_starts):
+                starts.note(start, monotonic_ms())
         for batch in self.batches_by_id(start.run_id.task.job_id):
             batch.note_start(start)
 
     def note_owner_start(self, start: StartOrdered, token: int) -> None:
         """Record a start order of the owner with *token* for a run of the owner's own box."""
         if token == self._owner.token:
-            self._starts_in_flight.note(start, monotonic_ms())
+            self._owner_starts.note(start, monotonic_ms())
 
     def pop_lost(self) -> list[LostRun]:
         """Return and drop the runs that ended with an expired grant."""
@@ -167,12 +170,12 @@
         self._drop_batches(batches)
         # Until the owner has answered the cancel, nobody else may know of them.
         for start in (start for batch in batches for start in batch.starts_in_flight):
-            self._starts_in_flight.note(start, monotonic_ms())
+            self._cancelled_starts.note(start, monotonic_ms())
         return withdraw(batches, self._owner, self._grant.number)
 
     def note_cancel_answered(self, job_id: str) -> None:
         """Record that the owner has stopped the withdrawn runs of a job."""
-        self._starts_in_flight.discard_job(job_id)
+        self._cancelled_starts.discard_job(job_id)
 
     def report_lost_starts(self) -> None:
         """Bind the tasks of withdrawn runs, and of runs of the owner's box, if it is silent.
@@ -180,7 +183,7 @@
         Their jobs may be submitted again in any zone.
         """
         if self.silent_ms >= self._timings.owner_silent_ms:
-            self._report_bindings(self._starts_in_flight.pop_bindings(monotonic_ms()))
+            self._report_bindings(self._pop_bindings())
 
     def is_granted(self, owner: OwnerRecord, grant: int) -> bool:
         """Return whether *owner* is still the owner and *grant* is valid."""
@@ -253,14 +256,18 @@
 
     def _bind_starts_in_flight(self) -> None:
         """Bind the tasks whose start order the owner, which is lost, has sent without an answer."""
-        bindings = self._starts_in_flight.pop_bindings(monotonic_ms())
-        bindings += [
+        of_open_runs = [
             EndpointBinding(start.run_id, start.endpoint)
             for batches in self._batches.values()
             for batch in batches
             for start in batch.starts_in_flight
         ]
-        self._report_bindings(bindings)
+        self._report_bindings([*self._pop_bindings(), *of_open_runs])
+
+    def _pop_bindings(self) -> list[EndpointBinding]:
+        now_ms = monotonic_ms()
+        cancelled = self._cancelled_starts.pop_bindings(now_ms)
+        return [*cancelled, *self._owner_starts.pop_bindings(now_ms)]
 
     def _report_bindings(self, bindings: list[EndpointBinding]) -> None:
         """Record *bindings* of the owner, which is lost, and report them to all other boxes."""
--- a/src/foldloom/seed_discovery/owners/context.py
+++ b/src/foldloom/seed_discovery/owners/context.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from foldloom.metrics import Metrics
@@ -11,9 +11,14 @@
 from foldloom.seed_discovery.endpoints.calls import EndpointCalls
 from foldloom.seed_discovery.endpoints.catalog import EndpointCatalog
 from foldloom.seed_discovery.fleet.view import FleetView
+from foldloom.seed_discovery.owners.messages import EndpointBinding
 from foldloom.settings import TimingSettings
 
 
+def _no_bindings(_zone: str, _token: int) -> Sequence[EndpointBinding]:
+    return ()
+
+
 class OwnerContext(NamedTuple):
     """Components of the box that an owner uses.
 
@@ -26,6 +31,8 @@
         metrics: Counters.
         published_version: Returns the published version in effect here.
         catalog_age_ms: Returns for how long the catalog has been maintained.
+        bindings_from_others: Returns the bindings to endpoints of a zone that boxes and earlier
+            owners, and not its owner with this token, have reported to this box.
     """
 
     view: FleetView
@@ -36,3 +43,4 @@
     metrics: Metrics
     published_version: Callable[[], int]
     catalog_age_ms: Callable[[], float]
+    bindings_from_others: Callable[[str, int], Sequence[EndpointBinding]] = _no_bindings
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -72,8 +72,6 @@
         start time that still has runs is therefore polled until they have ended or their leases
         have expired, so that no run starts a second time elsewhere.
         """
-        for service in {record.service for record in self._catalog.records if record.born_ms}:
-            self._state.note_reused_ids(service)
         records = {
             record.endpoint: record for record in self._catalog.records if record.zone == self._zone
         }
@@ -129,7 +127,6 @@
             born_before_ms=link.born_ms,
             source=source,
         )
-        self._state.note_reused_ids(record.service)
         self._state.begin_incarnation(record.endpoint, monotonic_ms())
         # If the previous link's task is the caller, it returns by itself.
         if self._tasks[record.endpoint] is not asyncio.current_task():
--- a/src/foldloom/seed_discovery/owners/lease_expiry.py
+++ b/src/foldloom/seed_discovery/owners/lease_expiry.py
@@ -23,7 +23,7 @@
         if not candidate.has_crashed and may_have_crashed(run, endpoint):
             candidate.lapsed_tasks.append(task)
         if run.state is RunState.STARTING:
-            lifecycle.note_unanswered_start(run.run_id, endpoint, now_ms)
+            lifecycle.unanswered_starts.add(run.run_id, endpoint, now_ms)
         lifecycle.finish(run, EndCause.LAPSED, "", now_ms)
 
 
--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -32,7 +32,7 @@
 
 from collections.abc import Mapping
 
-from foldloom.seed_discovery.jobs.spec import RunId, TaskId
+from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.owners.actions import Actions, NotifyAction, StartAction, StopAction
 from foldloom.seed_discovery.owners.crash_records import CrashRecords
 from foldloom.seed_discovery.owners.messages import EndCause, RunEnd, TaskCrashes
@@ -147,7 +147,7 @@
             return
         if run.state is RunState.STARTING:
             # Reported now, since the job may be submitted again before the call times out.
-            self.note_unanswered_start(run.run_id, run.endpoint, now_ms)
+            self.unanswered_starts.add(run.run_id, run.endpoint, now_ms)
         self.stop(run, now_ms)
 
     def finish(self, run: Run, cause: EndCause, checkpoint: str, now_ms: float) -> None:
@@ -190,16 +190,6 @@
         """Notify *holder* of an *end*."""
         self._actions.notify(NotifyAction(holder, end))
 
-    def note_unanswered_start(self, run_id: RunId, endpoint: str, now_ms: float) -> None:
-        """Record an unanswered start order to *endpoint*."""
-        run, candidate = self._runs.get(run_id.task), self._candidates.get(endpoint)
-        service = ""
-        if run is not None:
-            service = run.spec.service
-        elif candidate is not None:
-            service = candidate.record.service
-        self.unanswered_starts.add(run_id, endpoint, service, now_ms)
-
     def report_crashes(self, task: TaskId) -> None:
         """Report the crash count of *task* to all boxes."""
         self._actions.report(TaskCrashes(task, self.crashes.count_of(task)))
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -14,6 +14,7 @@
 from foldloom.clock import monotonic_ms
 from foldloom.logs import PLACE_LOG
 from foldloom.seed_discovery.endpoints.calls import CallOutcome, CallReply, StartOrder
+from foldloom.seed_discovery.jobs.spec import RunId
 from foldloom.seed_discovery.owners.actions import StartAction, StopAction
 from foldloom.seed_discovery.owners.context import OwnerContext
 from foldloom.seed_discovery.owners.endpoint_link import (
@@ -61,6 +62,7 @@
         self._owner = owner
         self._starts: dict[asyncio.Task[None], str] = {}
         self._successor: HolderId | None = None
+        self._in_flight: dict[RunId, StartOrdered] = {}
         self._is_closed = False
 
     def close(self) -> None:
@@ -93,6 +95,12 @@
         self._starts[task] = action.endpoint
         task.add_done_callback(self._starts.pop)
 
+    def notify_holders_of_job(self, job_id: str) -> None:
+        """Notify the holders of a job's runs in flight again: they have changed."""
+        for ordered in self._in_flight.values():
+            if ordered.run_id.task.job_id == job_id:
+                self._notify_holders(ordered)
+
     async def wait_for_starts(self, endpoints: Container[str]) -> None:
         """Wait for the starts in flight to any of *endpoints*, bounded by the call timeout."""
         tasks = [task for task, endpoint in self._starts.items() if endpoint in endpoints]
@@ -119,18 +127,23 @@
             return
         self._log_start(action, link, until_ms, now_ms)
         self._metrics.count("runs.started")
-        self._notify_holders(StartOrdered(action.run_id, action.endpoint))
+        ordered = StartOrdered(action.run_id, action.endpoint)
+        self._notify_holders(ordered)
+        self._in_flight[action.run_id] = ordered
         order = StartOrder(action.run_id, action.task_input, self._token, until_ms)
         overdue_timer = asyncio.get_running_loop().call_later(
             SUSPECT_AFTER_MS / 1_000, self._owner.note_overdue, action.endpoint, "start"
         )
-        reply = await self._calls.start_run(link.record, order)
-        overdue_timer.cancel()
+        try:
+            reply = await self._calls.start_run(link.record, order)
+        finally:
+            del self._in_flight[action.run_id]
+            overdue_timer.cancel()
         self._metrics.timing("start_call_ms", monotonic_ms() - now_ms)
         now_ms = monotonic_ms()
         self._note_answerer(link, reply, now_ms)
         if reply.outcome is not CallOutcome.UNKNOWN:
-            self._notify_holders(StartOrdered(action.run_id, action.endpoint, is_answered=True))
+            self._notify_holders(ordered._replace(is_answered=True))
         if reply.outcome is not CallOutcome.DONE:
             self._log_refusal(action, reply)
         if reply.outcome is CallOutcome.FENCED:
@@ -162,12 +175,12 @@
         )
 
     def _notify_holders(self, notice: StartOrdered) -> None:
-        """Notify the run's holders of a start order that would bind its task without an answer.
+        """Notify the run's holders of a start order, or of its answer.
 
         If the owner's own box is the only holder, the likely successor is notified too.
         """
         run = self._state.current_run(notice.run_id.task)
-        if run is None or not self._state.may_bind(run.spec.service):
+        if run is None:
             return
         for holder in run.holders:
             self._sessions.queue_start(holder, notice)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -23,6 +23,7 @@
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.owners.loads import zone_load
 from foldloom.seed_discovery.owners.messages import (
+    EndpointBinding,
     SubmitReply,
     SubmitRuns,
     SubmitStatus,
@@ -40,7 +41,7 @@
 from foldloom.seed_discovery.scheduling.placing import place
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId, GroupSummary
 from foldloom.seed_discovery.scheduling.run_queue import RunQueue
-from foldloom.seed_discovery.scheduling.runs import HolderId, Run
+from foldloom.seed_discovery.scheduling.runs import HolderId, Run, RunState
 
 # Groups of queued runs that one offer to other zones lists, the next in order first.
 OFFERED_GROUPS_MAX = 24
@@ -96,10 +97,6 @@
         """Return the current run of *task*, if any."""
         return self._lifecycle.get(task)
 
-    def may_bind(self, service: str) -> bool:
-        """Return whether an unanswered start binds a task of *service* to its endpoint."""
-        return self._unanswered_starts.may_bind(service)
-
     @property
     def task_reports(self) -> list[TaskReport]:
         """The crash counts and bindings of all tasks, as reported to the boxes."""
@@ -118,7 +115,7 @@
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         for binding in message.bindings:
-            self._unanswered_starts.adopt(binding, message.service, now_ms)
+            self.adopt(binding, now_ms)
             # The order of another owner may be executed, whatever becomes of these runs.
             self._lifecycle.started.note(message.job_id, now_ms + message.deadline_ms)
         self._deliveries.deliver(holder, message, now_ms)
@@ -128,6 +125,24 @@
             self.cancel(holder, message.job_id, now_ms, newest_delivery(message))
         return reply
 
+    def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
+        """Bind a task by the order of another owner, unless its endpoint lists the run."""
+        task, attempt = binding.run_id
+        candidate = self._candidates.get(binding.endpoint)
+        orphan = None if candidate is None else candidate.orphans.get(task)
+        is_listed = orphan is not None and orphan.attempt == attempt
+        if is_listed or self._is_running(binding.run_id, binding.endpoint):
+            self.actions.report(binding._replace(is_lifted=True))
+            return
+        self._unanswered_starts.adopt(binding, now_ms)
+
+    def _is_running(self, run_id: RunId, endpoint: str) -> bool:
+        """Return whether *run_id* is its task's current run, and running on *endpoint*."""
+        run = self._lifecycle.get(run_id.task)
+        if run is None or run.state is not RunState.RUNNING:
+            return False
+        return (run.run_id, run.endpoint) == (run_id, endpoint)
+
     def cancel(self, holder: HolderId, job_id: str, now_ms: float, delivery: int = 0) -> bool:
         """Release *holder*'s runs of a job; return whether any run of the job may have started.
 
@@ -185,10 +200,6 @@
             return
         known.update_record(record)
 
-    def note_reused_ids(self, service: str) -> None:
-        """Record that an endpoint of *service* reports its start time."""
-        self._unanswered_starts.note_reused_ids(service)
-
     def remove_endpoint(self, endpoint: str, now_ms: float) -> None:
         """Remove an endpoint whose incarnation has certainly ended, and finish its runs."""
         self.handle_lease_expiry(endpoint, now_ms)
@@ -252,17 +263,13 @@
         if candidate is not None:
             note_crash(self._lifecycle, candidate, now_ms)
 
-    def handle_other_id(self, endpoint: str, born_ms: int, now_ms: float) -> None:
+    def handle_other_id(self, endpoint: str, now_ms: float) -> None:
         """Handle an answer by another id at the address of *endpoint*.
 
-        The incarnation started at *born_ms* (0 if not reported) has ended, and no order meant for
-        it can be executed any more.
+        The incarnation has ended, and no order meant for it can be executed any more.
         """
         self.handle_crash(endpoint, now_ms)
         self._unanswered_starts.discard_all(endpoint)
-        candidate = self._candidates.get(endpoint)
-        if candidate is not None and not born_ms:
-            self._unanswered_starts.note_new_ids(candidate.record.service)
 
     def handle_lease_expiry(self, endpoint: str, now_ms: float) -> None:
         """Finish the runs on *endpoint*: every lease there has certainly expired."""
@@ -283,6 +290,9 @@
         for end in report.ended:
             self._unanswered_starts.discard(end.run_id, report.endpoint)
         reconcile(self._lifecycle, candidate, report, now_ms)
+        for active in report.active:
+            if self._is_running(active.run_id, report.endpoint):
+                self._unanswered_starts.discard(active.run_id, report.endpoint)
         self._last_polled_ms[report.endpoint] = report.polled_ms
         candidate.has_current_report = candidate.has_current_record(report.born_ms)
         candidate.note_polled(report.polled_ms)
@@ -294,7 +304,7 @@
     ) -> None:
         """Handle the outcome of a start order."""
         if outcome is CallOutcome.UNKNOWN:
-            self._lifecycle.note_unanswered_start(run_id, endpoint, now_ms)
+            self._unanswered_starts.add(run_id, endpoint, now_ms)
         elif outcome is not CallOutcome.DONE:
             self._unanswered_starts.discard(run_id, endpoint)
         handle_start_outcome(self._lifecycle, self._candidates, run_id, endpoint, outcome, now_ms)
--- a/src/foldloom/seed_discovery/owners/task_histories.py
+++ b/src/foldloom/seed_discovery/owners/task_histories.py
@@ -11,7 +11,7 @@
 
 from typing import NamedTuple
 
-from foldloom.seed_discovery.jobs.spec import TaskId
+from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.crash_records import CrashRecords
 from foldloom.seed_discovery.owners.messages import EndpointBinding, SubmitRuns, TaskCrashes
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self._crashes = CrashRecords()
         self._bindings: dict[TaskId, _ReportedBinding] = {}
+        self._lifted: dict[RunId, float] = {}
 
     def note_crashes(self, report: TaskCrashes, now_ms: float) -> None:
         """Record a count reported by an owner; a count of 0 means that the task ended normally."""
@@ -55,6 +56,11 @@
         """Record a binding of the owner of *zone* with *token*, or remove it if it is lifted."""
         self._expire_bindings(now_ms)
         task, attempt = binding.run_id
+        if binding.is_lifted:
+            self._lifted[binding.run_id] = now_ms + UNANSWERED_ORDER_TTL_MS
+        elif binding.run_id in self._lifted:
+            # A retransmitted report: the order was executed or refused meanwhile.
+            return
         known = self._bindings.get(task)
         if known is not None and known.zone == zone and known.binding.run_id.attempt > attempt:
             # A late report about an earlier attempt.
@@ -72,6 +78,14 @@
         known = self._bindings.get(task)
         return None if known is None else known.zone
 
+    def bindings_from_others(self, zone: str, token: int) -> list[EndpointBinding]:
+        """Return the bindings to endpoints of *zone* that its owner with *token* did not report."""
+        return [
+            known.binding
+            for known in self._bindings.values()
+            if known.zone == zone and known.token != token
+        ]
+
     def annotate(self, message: SubmitRuns, zone: str, now_ms: float) -> SubmitRuns:
         """Return *message* to the owner of *zone* with what it must know about its tasks.
 
@@ -93,6 +107,8 @@
 
     def _expire_bindings(self, now_ms: float) -> None:
         # Insertion order is the order of expiry.
+        while self._lifted and next(iter(self._lifted.values())) <= now_ms:
+            del self._lifted[next(iter(self._lifted))]
         while self._bindings:
             task, known = next(iter(self._bindings.items()))
             if now_ms < known.expires_ms:
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -11,12 +11,9 @@
   next attempt excludes the unanswered one. The binding is reported to all boxes, since the task's
   next owner must keep to it too.
 
-An incarnation that reports no start time may still be followed by one under the same id, which then
-reports the first start time of its service. The task is therefore free only once the endpoint has
-refused or ended the run, or once another id answers at the address of an endpoint that reports no
-start time. That shows that each incarnation of this service has its own id and refuses orders that
-are meant for another; tasks of the service are not bound until one of its endpoints reports a start
-time.
+The task is free once the endpoint has refused the order, lists its run, or another id answers at
+the endpoint's address. That an endpoint has reported no start time says nothing of its next
+incarnation.
 """
 
 from __future__ import annotations
@@ -36,13 +33,11 @@
     """A start order that may still be executed.
 
     Args:
-        service: The service of the run.
         expires_ms: When it can no longer be executed; own monotonic clock.
         stop_sent_ms: When the stop order was last sent to the present incarnation.
         is_stop_confirmed: Whether the present incarnation has confirmed the stop order.
     """
 
-    service: str
     expires_ms: float
     stop_sent_ms: float
     is_stop_confirmed: bool = False
@@ -61,8 +56,6 @@
         self._actions = actions
         self._pending: dict[StopAction, _UnconfirmedStart] = {}
         self._bound_endpoints: dict[TaskId, str] = {}
-        self._services_reusing_ids: set[str] = set()
-        self._services_with_new_ids: set[str] = set()
 
     @property
     def bound_endpoints(self) -> Mapping[TaskId, str]:
@@ -79,33 +72,30 @@
         }
         return list(newest.values())
 
-    def may_bind(self, service: str) -> bool:
-        """Return whether an unanswered start binds a task of *service*."""
-        return service not in self._services_with_new_ids
-
-    def add(self, run_id: RunId, endpoint: str, service: str, now_ms: float) -> None:
+    def add(self, run_id: RunId, endpoint: str, now_ms: float) -> None:
         """Record an unanswered start order whose run is being stopped or has ended."""
         self.expire(now_ms)
         stop = StopAction(run_id, endpoint)
         self._pending.pop(stop, None)
         expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
-        self._pending[stop] = _UnconfirmedStart(service, expires_ms, now_ms)
-        self._bind(stop, service)
+        self._pending[stop] = _UnconfirmedStart(expires_ms, now_ms)
+        self._bind(stop)
 
-    def adopt(self, binding: EndpointBinding, service: str, now_ms: float) -> None:
+    def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
         """Record an unanswered start order of another owner, as delivered by a box.
 
-        It is reported to all boxes, since its owner may have ended before it could do so.
+        It is reported to all boxes, since its owner may have ended before it could do so. The stop
+        order is sent later: the endpoint may list the run, which was answered unknown to the box.
         """
         stop = StopAction(binding.run_id, binding.endpoint)
         if stop in self._pending:
             return
         expires_ms = now_ms + UNANSWERED_ORDER_TTL_MS
-        self._pending[stop] = _UnconfirmedStart(service, expires_ms, float("-inf"))
-        self._bind(stop, service)
+        self._pending[stop] = _UnconfirmedStart(expires_ms, now_ms)
+        self._bind(stop)
 
     def discard(self, run_id: RunId, endpoint: str) -> None:
-        """Remove an order that *endpoint* has refused, or whose run has ended there.
+        """Remove an order that *endpoint* has refused, or whose run it lists.
 
         An order is executed at most once.
         """
@@ -114,32 +104,15 @@
         if run_id.task in self._bound_endpoints:
             self._actions.report(EndpointBinding(run_id, endpoint, is_lifted=True))
             self._release(run_id.task)
+            for binding in self.bindings:
+                if binding.run_id.task == run_id.task:
+                    self._actions.report(binding)
 
     def discard_all(self, endpoint: str) -> None:
         """Remove all orders to *endpoint*: another id answers at its address and refuses them."""
         for run_id in [stop.run_id for stop in self._pending if stop.endpoint == endpoint]:
             self.discard(run_id, endpoint)
 
-    def note_reused_ids(self, service: str) -> None:
-        """Record that an endpoint of *service* reports its start time."""
-        self._services_reusing_ids.add(service)
-        if service not in self._services_with_new_ids:
-            return
-        self._services_with_new_ids.remove(service)
-        for stop in self._orders_of(service):
-            self._bind(stop, service)
-
-    def note_new_ids(self, service: str) -> None:
-        """Record that the id of an endpoint of *service* ended with its incarnation."""
-        if service in self._services_reusing_ids or service in self._services_with_new_ids:
-            return
-        self._services_with_new_ids.add(service)
-        # The newest first, since boxes ignore reports about an earlier attempt.
-        for stop in reversed(self._orders_of(service)):
-            if self._bound_endpoints.get(stop.run_id.task) == stop.endpoint:
-                del self._bound_endpoints[stop.run_id.task]
-                self._actions.report(EndpointBinding(*stop, is_lifted=True))
-
     def next_attempt(self, task: TaskId) -> int:
         """Return the lowest attempt of *task* that excludes its unanswered ones; 1 if none."""
         if task not in self._bound_endpoints:
@@ -194,12 +167,7 @@
             del self._pending[stop]
             self._release(stop.run_id.task)
 
-    def _orders_of(self, service: str) -> list[StopAction]:
-        return [stop for stop, order in self._pending.items() if order.service == service]
-
-    def _bind(self, stop: StopAction, service: str) -> None:
-        if not self.may_bind(service):
-            return
+    def _bind(self, stop: StopAction) -> None:
         self._bound_endpoints[stop.run_id.task] = stop.endpoint
         self._actions.report(EndpointBinding(stop.run_id, stop.endpoint))
 
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -149,6 +149,7 @@
         if not self._sessions.has_session(holder, now_ms):
             return SubmitReply(SubmitStatus.NOT_OWNER, "no session")
         reply = self._state.submit(holder, message, now_ms)
+        self._orders.notify_holders_of_job(message.job_id)
         log_delivery(self._record, sender, message, reply, self.load)
         self._execute_actions()
         return reply
@@ -162,6 +163,7 @@
         holder = HolderId(sender, self._network.known_incarnation(sender))
         is_addressed = message.token in (0, self.token)
         known = self._state.cancel(holder, message.job_id, monotonic_ms(), message.delivery)
+        self._orders.notify_holders_of_job(message.job_id)
         has_started = known or not is_addressed
         log_cancel(self._record, sender, message, has_started)
         self._execute_actions()
@@ -262,7 +264,7 @@
         ENDPOINT_LOG.event("endpoint.life_over", endpoint=endpoint, born_ms=born_ms)
         now_ms = monotonic_ms()
         if not self._is_closed:
-            self._state.handle_other_id(endpoint, born_ms, now_ms)
+            self._state.handle_other_id(endpoint, now_ms)
             self._execute_actions()
         self._context.catalog.end_incarnation(endpoint, born_ms, now_ms)
 
@@ -289,6 +291,7 @@
             self._links.sync_with_catalog(now_ms)
             self._end_expired_sessions(now_ms)
             self._orders.choose_successor(now_ms)
+            self._adopt_bindings(now_ms)
             # While isolated, another box may own the zone and renew the leases of endpoints that
             # are silent here, so no lease counts as expired (tests/models/owners_model.py).
             if not self.is_isolated:
@@ -299,6 +302,11 @@
             self._execute_actions()
             await asyncio.sleep(_TICK_S)
 
+    def _adopt_bindings(self, now_ms: float) -> None:
+        """Adopt what this box knows of earlier owners' orders, and report it to all boxes."""
+        for binding in self._context.bindings_from_others(self._record.zone, self.token):
+            self._state.adopt(binding, now_ms)
+
     def _end_expired_sessions(self, now_ms: float) -> None:
         """Stop the runs of boxes whose session has expired, as of the time it expired."""
         for session in self._sessions.end_lapsed(now_ms):
--- a/tests/models/late_orders.py
+++ b/tests/models/late_orders.py
@@ -70,9 +70,13 @@
             self._call_later(_RESTART_AFTER_S, self._restart_and_execute)
         return reply
 
+    def deafen_endpoint(self) -> None:
+        """Have the first endpoint receive nothing until its next incarnation."""
+        self.trouble.deaf.add(self._first_endpoint)
+
     def silence_endpoint(self) -> None:
         """Silence the first endpoint until its next incarnation."""
-        self.trouble.deaf.add(self._first_endpoint)
+        self.deafen_endpoint()
         self._call_later(_SILENCE_MAX_S, self._restart_and_execute)
 
     def _restart_and_execute(self) -> None:
--- a/tests/models/zones_world.py
+++ b/tests/models/zones_world.py
@@ -153,6 +153,7 @@
             metrics=self._metrics,
             published_version=lambda: 1,
             catalog_age_ms=lambda: self._world.catalog_age_ms(self._started_ms),
+            bindings_from_others=self.client.bindings_from_others,
         )
         return ZoneOwner(record, context, self.elector.note_fenced)
 
