--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -544,6 +544,20 @@
         "when it is back.\n            continue",
         _OWNERS_CLIENT + "TestLostOwner::test_a_lost_run_is_delivered_no_more",
     ),
+    Mutation(
+        "no delivery to another zone while a cancelled run may remain in the own one",
+        "seed_discovery/owners/cancels.py",
+        "return all(remaining == zone == self._home_zone for remaining in zones)",
+        "return all(remaining == self._home_zone for remaining in zones)",
+        "tests/test_owners_resubmission.py::TestHomeZoneWithoutCapacity::test_submitted_again",
+    ),
+    Mutation(
+        "a later cancel does not end the wait for the runs of an earlier one",
+        "seed_discovery/owners/cancels.py",
+        "if not zones:\n            del",
+        "if zone:\n            del",
+        _OWNERS_CLIENT + "TestSameIdAgain::test_cancelled_twice_in_the_own_zone",
+    ),
     Mutation(
         "a cancel reaches no later delivery",
         "seed_discovery/owners/deliveries.py",
--- a/src/foldloom/seed_discovery/owners/cancels.py
+++ b/src/foldloom/seed_discovery/owners/cancels.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
 """Cancels of an entry box, retransmitted until answered, even after the job's result is decided.
 
-Owns the cancels in flight and the ids that may still run in another zone. The connections to the
-owners supply the current owners and their grants.
+Owns the cancels in flight and the zones in which runs of cancelled ids may remain. The connections
+to the owners supply the current owners and their grants.
 """
 
 from __future__ import annotations
@@ -44,22 +44,20 @@
         self._home_zone = home_zone
         self._network = network
         self._gone_after_s = run_expiry_ms / 1_000
-        self._remote_cancels: dict[str, asyncio.Task[None]] = {}
+        # Per id, one zone for each cancel whose runs may remain.
+        self._zones_by_job: dict[str, list[str]] = {}
         self._tasks = TaskSet()
 
     def begin(self, withdrawals: list[Withdrawal]) -> dict[str, asyncio.Task[CancelAnswer]]:
         """Start cancelling one job's withdrawn runs; return the pending answers by zone."""
-        cancels = {
-            withdrawal.owner.zone: self._tasks.spawn(self._cancel(withdrawal))
-            for withdrawal in withdrawals
-            if withdrawal.needs_cancel
-        }
-        remote = [cancel for zone, cancel in cancels.items() if zone != self._home_zone]
-        if remote:
-            job_id = withdrawals[0].job_id
-            self._remote_cancels[job_id] = self._tasks.spawn(
-                self._await_remote_cancels(job_id, remote)
-            )
+        cancels = {}
+        for withdrawal in withdrawals:
+            if not withdrawal.needs_cancel:
+                continue
+            job_id, zone = withdrawal.job_id, withdrawal.owner.zone
+            cancels[zone] = self._tasks.spawn(self._cancel(withdrawal))
+            self._zones_by_job.setdefault(job_id, []).append(zone)
+            self._tasks.spawn(self._record_until_gone(job_id, zone, cancels[zone]))
         return cancels
 
     async def cancel_and_wait(self, withdrawals: list[Withdrawal]) -> dict[str, CancelAnswer]:
@@ -75,24 +73,25 @@
             for zone, cancel in cancels.items()
         }
 
-    async def wait_until_gone(self, job_id: str) -> None:
-        """Wait until no cancelled run of this id can still run in another zone.
+    def may_deliver(self, job_id: str, zone: str) -> bool:
+        """Return whether a job with this id may be delivered to *zone*.
 
-        A resubmission of the id starts in the own zone, whose owner tracks runs that are stopping
-        there, but not those of other zones.
+        It may not while cancelled runs of the id may remain on endpoints. Those in the own zone do
+        not prevent a delivery there, since its owner tracks the runs that are stopping.
         """
-        remote_cancels = self._remote_cancels.get(job_id)
-        if remote_cancels is not None:
-            await asyncio.shield(remote_cancels)
+        zones = self._zones_by_job.get(job_id, ())
+        return all(remaining == zone == self._home_zone for remaining in zones)
 
-    async def _await_remote_cancels(
-        self, job_id: str, cancels: list[asyncio.Task[CancelAnswer]]
+    async def _record_until_gone(
+        self, job_id: str, zone: str, cancel: asyncio.Task[CancelAnswer]
     ) -> None:
-        answers = await asyncio.gather(*cancels)
-        if any(answer is not CancelAnswer.NOT_STARTED for answer in answers):
+        """Drop the record of *cancel* once its runs have certainly ended."""
+        if await cancel is not CancelAnswer.NOT_STARTED:
             await asyncio.sleep(self._gone_after_s)
-        if self._remote_cancels.get(job_id) is asyncio.current_task():
-            del self._remote_cancels[job_id]
+        zones = self._zones_by_job[job_id]
+        zones.remove(zone)
+        if not zones:
+            del self._zones_by_job[job_id]
 
     async def _cancel(self, withdrawal: Withdrawal) -> CancelAnswer:
         """Cancel the withdrawn runs at their owner; return its answer.
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -119,17 +119,22 @@
         """Deliver runs of *job* to an owner, waiting for one if necessary; return its reply.
 
         Runs of bound tasks go to the owner of their endpoint's zone. With several owners, the reply
-        is the first refusal, if any.
+        is the first refusal, if any. A resubmitted job also waits while its cancelled runs may
+        remain in another zone.
         """
-        await self._cancels.wait_until_gone(job.job_id)
         reply = SubmitReply(SubmitStatus.TAKEN)
-        for zone, orders_of_zone in self._split_by_zone(template, orders).items():
-            while (connection := self._select_connection(zone)) is None:
-                await asyncio.sleep(_OWNER_CHECK_S)
+        while orders and reply.status is not SubmitStatus.REFUSED:
+            by_zone = self._split_by_zone(template, orders)
+            zone = next(iter(by_zone))
+            connection = self._select_for_delivery(job.job_id, zone)
+            if connection is None:
+                while self._select_for_delivery(job.job_id, zone) is None:
+                    await asyncio.sleep(_OWNER_CHECK_S)
+                # Tasks may have been bound to endpoints of other zones meanwhile.
+                continue
             batch = self._find_or_create_batch(connection, job, template)
-            reply = await connection.submit(batch, orders_of_zone)
-            if reply.status is SubmitStatus.REFUSED:
-                break
+            reply = await connection.submit(batch, by_zone.pop(zone))
+            orders = [order for remaining in by_zone.values() for order in remaining]
         return reply
 
     async def cancel_and_wait(self, job: OpenJob) -> bool:
@@ -182,6 +187,13 @@
             by_zone.setdefault(self._histories.bound_zone(task, now_ms), []).append(order)
         return by_zone
 
+    def _select_for_delivery(self, job_id: str, zone: str | None) -> OwnerConnection | None:
+        """Return the selected owner if a job may be delivered to it now."""
+        connection = self._select_connection(zone)
+        if connection is None or not self._cancels.may_deliver(job_id, connection.zone):
+            return None
+        return connection
+
     def _select_connection(self, zone: str | None = None) -> OwnerConnection | None:
         """Return the owner of *zone* if usable; if no zone is given, the best one.
 
--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -37,7 +37,9 @@
 _OWN_ZONE, _OTHER_ZONE = "home", "other"
 # Shortest session and lease, so that grants lapse soon.
 _SHORT = TimingSettings(session_ms=1, endpoint_lease_ms=1)
-# Process pause, longer than such a grant.
+# A run may remain on its endpoint for longer than any test waits.
+_LONG = TimingSettings(owner_silent_ms=20_000, endpoint_lease_ms=20_000)
+# Process pause, longer than a short grant.
 _PAUSE_S = 0.3
 
 
@@ -83,12 +85,12 @@
         self.job = OpenJob(_JOB)
         self.ends = self.job.ends
 
-    def beat(self, token: int, zone: str = _OWN_ZONE) -> None:
-        """Handle a heartbeat of the owner with *token*."""
+    def beat(self, token: int, zone: str = _OWN_ZONE, total_milli: int = 10**6) -> None:
+        """Handle a heartbeat of the owner with *token*, whose zone has *total_milli*."""
         record = BoxRecord(f"10.0.0.{token}:1", 1, zone, ENTRY, "o")
         owner = OwnerRecord(zone, token, record.box, 1)
         self.client.handle_heartbeat(
-            OwnerHeartbeat(owner, record, 0, 0, ZoneLoad(10**6, 10**6, 0)), 0
+            OwnerHeartbeat(owner, record, 0, 0, ZoneLoad(total_milli, total_milli, 0)), 0
         )
 
     async def submit(self, run: int = 1) -> SubmitReply:
@@ -101,6 +103,11 @@
         message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
         return int(message.orders[0].delivery)
 
+    def last_token(self) -> int:
+        """Return the token of the owner that received the newest delivery."""
+        message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
+        return int(message.token)
+
     def end(self, cause: EndCause, zone: str = _OWN_ZONE, **fields: Any) -> None:
         """Handle a message with the run's end."""
         end = RunEnd(RunId(TaskId(_JOB, 0, 0, 0), 1), cause, **fields)
@@ -253,6 +260,64 @@
 
         _run(play())
 
+    def test_not_started_in_the_own_zone(self) -> None:
+        """The job goes to another zone at once: no run of it can remain."""
+
+        async def play() -> None:
+            rig = Rig(_LONG)
+            rig.beat(1)
+            rig.beat(2, _OTHER_ZONE)
+            await rig.submit()
+            rig.client.cancel_in_background(rig.job)
+            rig.job = OpenJob(_JOB)
+            rig.beat(1, total_milli=0)
+            await asyncio.wait_for(rig.submit(), 5.0)
+            assert rig.last_token() == 2
+
+        _run(play())
+
+    def test_started_in_another_zone(self) -> None:
+        """The job goes nowhere while a run of it may remain there."""
+
+        async def play() -> None:
+            rig = Rig(_LONG)
+            rig.beat(1, total_milli=0)
+            rig.beat(2, _OTHER_ZONE)
+            await rig.submit()
+            assert rig.last_token() == 2
+            rig.network.has_started = True
+            await rig.client.cancel_and_wait(rig.job)
+            rig.job = OpenJob(_JOB)
+            rig.beat(1)
+            submission_task = asyncio.create_task(rig.submit())
+            await asyncio.wait([submission_task], timeout=0.1)
+            assert rig.last_token() == 2
+            submission_task.cancel()
+
+        _run(play())
+
+    def test_cancelled_twice_in_the_own_zone(self) -> None:
+        """The answer to the second cancel does not end the wait for the runs of the first."""
+
+        async def play() -> None:
+            rig = Rig(_LONG)
+            rig.beat(1)
+            rig.beat(2, _OTHER_ZONE)
+            for has_started in (True, False):
+                await rig.submit()
+                rig.network.has_started = has_started
+                await rig.client.cancel_and_wait(rig.job)
+                rig.job = OpenJob(_JOB)
+            rig.beat(1, total_milli=0)
+            submission_task = asyncio.create_task(rig.submit())
+            await asyncio.wait([submission_task], timeout=0.1)
+            assert rig.last_token() == 1
+            rig.beat(1)
+            await asyncio.wait_for(submission_task, 5.0)
+            assert rig.last_token() == 1
+
+        _run(play())
+
 
 class TestGivingUp:
     """Whether a cancelled job may have started."""
