--- a/src/foldloom/metrics_server.py
+++ b/src/foldloom/metrics_server.py
@@ -15,6 +15,8 @@
 from foldloom.metrics import Metrics
 
 METRICS_PATH = "/metrics"
+# For an incomplete scrape when the box stops; aiohttp waits twice, and takes 0 for no timeout.
+_SHUTDOWN_TIMEOUT_S = 0.1
 _CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -35,7 +37,9 @@
         """Start listening, unless there is no address or it is in use."""
         if not self._address:
             return
-        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0)
+        self._runner = web.ServerRunner(
+            web.Server(self._handle), shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        )
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
         try:
@@ -45,7 +49,7 @@
             ENTRY_LOG.event("metrics.not_served", address=self._address, reason=str(error))
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening, and abort scrapes that are incomplete or not read."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -1,16 +1,22 @@
 # SPDX-License-Identifier: MIT
-"""A program that did not exit within the grace period, because a request never arrived whole."""
+"""A program that did not exit within the grace period.
+
+Requests never arrived whole, or responses were not read.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
+from aiohttp import ClientSession
 
 from platform_system import PlatformSystem, play, steps
 
@@ -21,6 +27,12 @@
 # From the start of the stop: signals that are sent again.
 _SIGNAL_GAPS_S = (0.0, 0.05, 0.5, 1.0)
 
+# As in local_settings.py.
+_METRICS_PORT = 9464
+# Longer than a scrape takes.
+_SCRAPE_S = 1.0
+_RECEIVE_BUFFER_BYTES = 2_048
+
 
 async def _send_part(
     system: PlatformSystem, name: str, listener: str, path: str
@@ -36,11 +48,39 @@
     return writer
 
 
-async def _exit_code(system: PlatformSystem, name: str) -> int:
-    """Send SIGTERM several times; return the exit code."""
+def _metrics_address(system: PlatformSystem, name: str) -> str:
+    host, _, _ = system.address(name, "peer").rpartition(":")
+    return f"{host}:{_METRICS_PORT}"
+
+
+def _connect(address: str) -> socket.socket:
+    """Return a connection to *address* with a small receive buffer."""
+    host, _, port = address.rpartition(":")
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    connection.connect((host, int(port)))
+    connection.setblocking(False)
+    return connection
+
+
+async def _fill(scraper: socket.socket) -> None:
+    """Send scrapes without reading a response, until the server has stopped reading them."""
+    accepted_s = time.monotonic()
+    while time.monotonic() - accepted_s < _SCRAPE_S:
+        try:
+            scraper.send(b"GET /metrics HTTP/1.1\r\nHost: box\r\n\r\n" * 50)
+            accepted_s = time.monotonic()
+        except BlockingIOError:
+            await asyncio.sleep(0.01)
+
+
+async def _exit_code(
+    system: PlatformSystem, name: str, gaps_s: tuple[float, ...] = _SIGNAL_GAPS_S
+) -> int:
+    """Send SIGTERM after each gap; return the exit code."""
     process = system.processes[name]
     async with asyncio.timeout(_GRACE_S):
-        for gap_s in _SIGNAL_GAPS_S:
+        for gap_s in gaps_s:
             await asyncio.sleep(gap_s)
             process.send_signal(signal.SIGTERM)
         return await process.wait()
@@ -85,6 +125,41 @@
         play(scenario, tmp_path)
 
 
+class TestMetricsPort:
+    """Scrapes that are open when the box stops."""
+
+    @pytest.mark.parametrize("name", ["e1", "c0"])
+    def test_incomplete_request(self, tmp_path: Path, name: str) -> None:
+        """The process exits in time; the rest of the request is not waited for."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            host, _, port = _metrics_address(system, name).rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"POST /metrics HTTP/1.1\r\nHost: box\r\nContent-Length: 1000\r\n\r\nab")
+            await asyncio.sleep(_SCRAPE_S)
+            assert await _exit_code(system, name, gaps_s=(0.0,)) == 0
+            assert system.events(name, "process.stopped")
+            writer.close()
+
+        play(scenario, tmp_path)
+
+    @pytest.mark.parametrize("name", ["e1", "c0"])
+    def test_unread_responses(self, tmp_path: Path, name: str) -> None:
+        """The process exits in time, although a scraper reads none of its responses."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            address = _metrics_address(system, name)
+            # The first scrape imports prometheus_client, during which no response is written.
+            async with ClientSession() as session:
+                await (await session.get(f"http://{address}/metrics")).read()
+            with _connect(address) as scraper:
+                await _fill(scraper)
+                assert await _exit_code(system, name, gaps_s=(0.0,)) == 0
+                assert system.events(name, "process.stopped")
+
+        play(scenario, tmp_path)
+
+
 class TestStuckProcess:
     """A process that is still there after the timeout of its planned stop."""
 
