--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Signals received while a platform program starts."""
+"""Signals received while a platform program starts or its settings file is missing."""
 
 from __future__ import annotations
 
@@ -13,6 +13,8 @@
 from platform_system import PlatformSystem, play
 
 _START_TIMEOUT_S = 20.0
+# The interval at which the programs check their settings file, plus slack.
+_RELOAD_S = 1.5
 _SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 
 
@@ -23,6 +25,13 @@
     return int(mask, 16)
 
 
+async def _until_reloaded(system: PlatformSystem, name: str, times: int) -> None:
+    async def is_reloaded() -> bool:
+        return len(system.events(name, "settings.reloaded")) == times
+
+    await system.until(is_reloaded, f"{name} has reloaded its settings {times} times")
+
+
 class TestReloadWhileStarting:
     """SIGHUP before the program has installed its handler."""
 
@@ -51,3 +60,23 @@
             assert system.events(name, "settings.reloaded")
 
         play(scenario, tmp_path)
+
+
+class TestMissingSettingsFile:
+    """A settings file that is missing for a while, as when it is not replaced atomically."""
+
+    @pytest.mark.parametrize("name", ["e0", "c0"])
+    def test_it_is_reloaded(self, tmp_path: Path, name: str) -> None:
+        """The program follows the file once it is there again."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            path = tmp_path / f"{name}.toml"
+            settings = path.read_text()
+            path.unlink()
+            await asyncio.sleep(_RELOAD_S)
+            path.write_text(settings)
+            await _until_reloaded(system, name, 1)
+            system.processes[name].send_signal(signal.SIGHUP)
+            await _until_reloaded(system, name, 2)
+
+        play(scenario, tmp_path)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 """A program that did not exit within the grace period.
 
-Requests never arrived whole, or responses were not read.
+Requests never arrived whole, responses were not read, or storage blocked.
 """
 
 from __future__ import annotations
@@ -27,6 +27,8 @@
 # From the start of the stop: signals that are sent again.
 _SIGNAL_GAPS_S = (0.0, 0.05, 0.5, 1.0)
 
+# The interval at which the programs check their settings file, plus slack.
+_RELOAD_S = 1.5
 # As in local_settings.py.
 _METRICS_PORT = 9464
 # Longer than a scrape takes.
@@ -160,6 +162,26 @@
         play(scenario, tmp_path)
 
 
+class TestBlockedSettingsFile:
+    """A reload whose storage blocks, here a FIFO that nobody writes to."""
+
+    @pytest.mark.parametrize("name", ["e1", "c0"])
+    def test_it_goes_on(self, tmp_path: Path, name: str) -> None:
+        """The box answers meanwhile, and exits in time."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            path = tmp_path / f"{name}.toml"
+            path.unlink()
+            os.mkfifo(path)
+            await asyncio.sleep(_RELOAD_S)
+            assert await system.is_up(name)
+            assert (await system.submit("e1", 1, steps())).status == 200
+            assert await _exit_code(system, name, gaps_s=(0.0,)) == 0
+            assert system.events(name, "process.stopped")
+
+        play(scenario, tmp_path)
+
+
 class TestStuckProcess:
     """A process that is still there after the timeout of its planned stop."""
 
