--- a/src/foldloom/logs.py
+++ b/src/foldloom/logs.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import atexit
+import logging
 import os
 import sys
 import threading
@@ -19,6 +20,7 @@
 
 import logbook
 import msgspec
+from logbook.compat import RedirectLoggingHandler
 
 from foldloom.settings import LogSettings
 
@@ -179,6 +181,8 @@
         fields["event" if kwargs else "message"] = record.message
         for key, value in kwargs.items():
             fields[str(key)] = value if isinstance(value, _JSON_SCALARS) else str(value)
+        if record.formatted_exception:
+            fields["exception"] = record.formatted_exception
         return msgspec.json.encode(fields).decode()
 
     def _dropped_line(self, dropped: int) -> str:
@@ -189,14 +193,15 @@
 
 
 def _format_text(record: logbook.LogRecord) -> str:
-    """Return *record* as a text line: time, level, component, message, fields."""
+    """Return *record* as text: a line of time, level, component, message, fields; a traceback."""
     fields = "".join(f" {key}={value}" for key, value in (record.kwargs or {}).items())
     moment = f"{record.time:%Y-%m-%dT%H:%M:%S.%f}"
-    return f"{moment} {record.level_name} {record.channel}: {record.message}{fields}"
+    exception = f"\n{record.formatted_exception}" if record.formatted_exception else ""
+    return f"{moment} {record.level_name} {record.channel}: {record.message}{fields}{exception}"
 
 
 def start_logging(settings: LogSettings, box: str = "") -> logbook.Handler:
-    """Install a handler for the log lines of all components and return it.
+    """Install a handler for the log lines of all components and libraries, and return it.
 
     Args:
         settings: Minimum level, format, and the file if not standard output.
@@ -209,6 +214,9 @@
         descriptor = os.open(Path(settings.file), flags, 0o644)
     handler = BatchHandler(descriptor, level, settings.format, box)
     handler.push_application()
+    # Without a handler, the logging module writes records of libraries to the standard error
+    # stream, which blocks the event loop while the reader does not drain its pipe.
+    logging.basicConfig(handlers=[RedirectLoggingHandler()])
     # The writer is a daemon thread: without this, the lines queued last would be lost.
     atexit.register(handler.close)
     return handler
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,7 +3,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
+import subprocess
+import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -14,6 +17,8 @@
 from foldloom.logs import PLACE_LOG, BatchHandler, EventRateLimits, start_logging
 from foldloom.settings import LogSettings
 
+_PROGRAM_TIMEOUT_S = 10.0
+
 
 def _read_records(path: Path) -> list[dict[str, Any]]:
     return [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
@@ -77,3 +82,49 @@
         handler.close()
         os.close(reading)
         os.close(writing)
+
+
+class TestLibraries:
+    """Records that libraries log through the standard library, such as aiohttp's errors."""
+
+    def test_they_are_log_lines(self, tmp_path: Path) -> None:
+        """The record is a line of the box's log, with its traceback."""
+        done = _run_program("json", str(tmp_path / "log"), subprocess.DEVNULL)
+        assert done.returncode == 0
+        (line,) = _read_records(tmp_path / "log")
+        assert (line["box"], line["part"], line["message"]) == ("b1", "library", "failed")
+        assert line["exception"].endswith("ValueError: the cause")
+
+    def test_slow_reader(self) -> None:
+        """Logging does not block while nobody reads the output."""
+        reading, writing = os.pipe()
+        os.set_blocking(writing, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writing, b"x")
+        os.set_blocking(writing, True)
+        done = _run_program("json", "", writing)
+        assert done.returncode == 0
+        os.close(reading)
+        os.close(writing)
+
+
+def _run_program(line_format: str, file: str, output: int) -> subprocess.CompletedProcess[bytes]:
+    """Run a program that logs an exception through the standard library."""
+    program = (
+        "import logging\n"
+        "from foldloom.logs import start_logging\n"
+        "from foldloom.settings import LogSettings\n"
+        f"start_logging(LogSettings(format={line_format!r}, file={file!r}), 'b1')\n"
+        "try:\n"
+        "    raise ValueError('the cause')\n"
+        "except ValueError:\n"
+        "    logging.getLogger('library').exception('failed')\n"
+    )
+    return subprocess.run(
+        [sys.executable, "-c", program],
+        stdout=output,
+        stderr=output,
+        timeout=_PROGRAM_TIMEOUT_S,
+        check=False,
+    )
