--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -182,6 +182,20 @@
         play(scenario, tmp_path)
 
 
+class TestBlockedDisk:
+    """A controller's write of its configuration cache blocks, here in opening a FIFO."""
+
+    def test_it_exits(self, tmp_path: Path) -> None:
+        """The process exits in time; the cache is best effort."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            os.mkfifo(tmp_path / "c0" / "published.tmp")
+            assert await system.configure(2)
+            assert await _exit_code(system, "c0", gaps_s=(0.0,)) == 0
+
+        play(scenario, tmp_path)
+
+
 class TestStuckProcess:
     """A process that is still there after the timeout of its planned stop."""
 
