--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: MIT
-"""Signals received while a platform program starts or its settings file is missing."""
+"""Signals received while a platform program starts, stops, or misses its settings file."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import signal
 import time
 from pathlib import Path
@@ -62,6 +64,27 @@
         play(scenario, tmp_path)
 
 
+class TestReloadWhileStopping:
+    """SIGHUP until the process is gone."""
+
+    @pytest.mark.parametrize("name", ["e0", "c0"])
+    def test_it_exits_by_itself(self, tmp_path: Path, name: str) -> None:
+        """The exit code is that of a planned stop."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            process = system.processes[name]
+            exited = asyncio.create_task(process.wait())
+            process.send_signal(signal.SIGTERM)
+            while not exited.done():
+                # Not Process.send_signal, which reaps a process that has exited.
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGHUP)
+                await asyncio.sleep(0.005)
+            assert await exited == 0
+
+        play(scenario, tmp_path)
+
+
 class TestMissingSettingsFile:
     """A settings file that is missing for a while, as when it is not replaced atomically."""
 
