--- a/src/foldloom/seed_discovery/endpoints/calls.py
+++ b/src/foldloom/seed_discovery/endpoints/calls.py
@@ -33,6 +33,9 @@
     """Connection refused: the endpoint has crashed or exited, and the call had no effect."""
     NOT_SENT = "not-sent"
     """The call was not made, because the endpoint did not respond to a check before it."""
+    DISCONNECTED = "disconnected"
+    """The connection ended without a response: the incarnation that it led to may have carried out
+    the call or still do so, but no later one will."""
     UNKNOWN = "unknown"
 
 
--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -38,7 +38,7 @@
         if run.state is RunState.STARTING:
             run.enter(RunState.RUNNING, now_ms, endpoint)
         return
-    if outcome is CallOutcome.UNKNOWN:
+    if outcome in (CallOutcome.UNKNOWN, CallOutcome.DISCONNECTED):
         # The start may take effect until the lease in the order expires. The stop prevents that,
         # and the next report shows whether the run has started.
         lifecycle.stop(run, now_ms)
