--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -141,6 +141,9 @@
         self.born_ms = born_ms
         # When the endpoint last responded; own monotonic clock.
         self._responded_ms = float("-inf")
+        # How long the newest check took. An answer of a slow endpoint counts as recent for as long,
+        # since a run that waits for the checks of several such endpoints would start on none.
+        self._response_time_ms = 0.0
         self._check: asyncio.Task[bool] | None = None
         self._lease_durations = lease_durations
         self._calls = calls
@@ -207,7 +210,7 @@
         Concurrent callers share one check. It goes on after they have stopped waiting, so that an
         endpoint that is only slow gets runs again at its answer.
         """
-        if monotonic_ms() - self._responded_ms <= _RECENT_ANSWER_MS:
+        if monotonic_ms() - self._responded_ms <= max(_RECENT_ANSWER_MS, self._response_time_ms):
             return True
         check = self._check
         if check is None or check.done():
@@ -252,6 +255,7 @@
         """Poll without effect on the endpoint; return whether this incarnation answers."""
         endpoint = self.record.endpoint
         order = PollOrder(self._lease_durations.token, 0, 0, 0)
+        sent_ms = monotonic_ms()
         overdue_timer = asyncio.get_running_loop().call_later(
             SUSPECT_AFTER_MS / 1_000, self._owner.note_unresponsive, endpoint
         )
@@ -271,6 +275,7 @@
             now_ms = monotonic_ms()
             self.clock.note(reply.clock_ms, now_ms)
             self._responded_ms = now_ms
+            self._response_time_ms = now_ms - sent_ms
             self._owner.note_responding(endpoint)
             return True
         self._owner.note_unresponsive(endpoint)
