--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -137,7 +137,7 @@
         try:
             reply = await self._calls.start_run(link.record, order)
         finally:
-            del self._in_flight[action.run_id]
+            self._in_flight.pop(action.run_id, None)
             overdue_timer.cancel()
         self._metrics.timing("start_call_ms", monotonic_ms() - now_ms)
         now_ms = monotonic_ms()
