--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -300,9 +300,12 @@
                 )
                 for number in range(4)
             ]
-            await asyncio.sleep(0.1)
+
+            async def is_running() -> bool:
+                return any(endpoint.simulated.active for endpoint in system.endpoints)
+
+            await system.until(is_running, "a task runs")
             busy = [endpoint for endpoint in system.endpoints if endpoint.simulated.active]
-            assert busy
             busy[0].is_silent = True
             answers = await asyncio.gather(*calls)
             assert [answer.status for answer in answers] == [200] * 4
