--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -34,6 +34,12 @@
         """The connection ended, with or without the number of the system's error."""
         assert outcome_of(error) is CallOutcome.DISCONNECTED
 
+    @pytest.mark.parametrize("number", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH])
+    def test_network_failure(self, number: int) -> None:
+        """The endpoint has not ended the connection, and may have received the call."""
+        error = aiohttp.ClientOSError(number, os.strerror(number))
+        assert outcome_of(error) is CallOutcome.UNKNOWN
+
     @pytest.mark.parametrize("error", [TimeoutError(), aiohttp.ServerTimeoutError()])
     def test_timeout(self, error: Exception) -> None:
         """The call may still be executed, whoever then has the endpoint's id."""
