--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -674,10 +674,31 @@
     Mutation(
         "leases meant for the life before",
         "seed_discovery/owners/endpoint_link.py",
-        "if now_ms < self._stale_orders_until_ms + LAPSE_MARGIN_MS:",
+        "if now_ms < self._stale_orders_until_ms + longest_real_ms + LAPSE_MARGIN_MS:",
         "if False:",
         _ENDPOINT_LINK + "TestOtherLife::test_orders_for_the_life_before",
     ),
+    Mutation(
+        "an unanswered renewal outlives its incarnation",
+        "seed_discovery/owners/endpoint_link.py",
+        "self._renewals_until_ms = sent_ms + UNANSWERED_ORDER_TTL_MS",
+        "pass",
+        _ENDPOINT_LINK + "TestUnansweredRenewal",
+    ),
+    Mutation(
+        "an unanswered start renews the next incarnation's lease",
+        "seed_discovery/owners/endpoint_links.py",
+        "max(link.orders_until_ms, starts_until_ms)",
+        "link.orders_until_ms",
+        "tests/test_owners_late_renewals.py::TestLateStart",
+    ),
+    Mutation(
+        "so does one in flight when its link is replaced",
+        "seed_discovery/owners/order_sender.py",
+        "            self._note_stale_start(link, now_ms)\n",
+        "            pass\n",
+        "tests/test_owners_late_renewals.py::TestLateStart",
+    ),
     Mutation(
         "a silent endpoint's lease is not renewed",
         "seed_discovery/owners/endpoint_link.py",
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -22,6 +22,7 @@
 )
 from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, EndpointClock
+from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 
 # Long-poll wait; short enough that two polls may be lost before a lease of default length expires.
 _POLL_WAIT_MS = 200
@@ -124,6 +125,7 @@
         owner: Receiver of reports and events.
         born_ms: Start time of this incarnation; 0 if unknown.
         replaces_previous: Whether this owner gave orders to the previous incarnation.
+        orders_until_ms: Until when unanswered orders for earlier incarnations may be executed.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         owner: LinkListener,
         born_ms: int = 0,
         replaces_previous: bool = False,
+        orders_until_ms: float = float("-inf"),
     ) -> None:
         self.record = record
         self.clock = EndpointClock()
@@ -148,11 +151,13 @@
         self._lease_durations = lease_durations
         self._calls = calls
         self._owner = owner
-        # Orders meant for the previous incarnation may have reached this one; their leases last no
-        # longer than the longest that the endpoint accepts.
-        self._stale_orders_until_ms = (
-            self.answered_ms + lease_durations.longest_real_ms if replaces_previous else 0.0
-        )
+        # Until when this incarnation may execute orders meant for an earlier one. Their leases last
+        # no longer than the longest that the endpoint accepts.
+        self._stale_orders_until_ms = orders_until_ms
+        if replaces_previous:
+            self.note_stale_order(self.answered_ms)
+        # Until when a later incarnation may execute a renewing poll meant for this one.
+        self._renewals_until_ms = float("-inf")
         self._last_sequence = 0
         self._last_poll_succeeded = False
         self._is_silent = False
@@ -169,6 +174,18 @@
         """Whether this incarnation has certainly ended: another id answered at its address."""
         return self._is_over
 
+    @property
+    def orders_until_ms(self) -> float:
+        """Until when the next incarnation may execute orders meant for this or an earlier one.
+
+        Unanswered start orders for this incarnation are not included.
+        """
+        return max(self._stale_orders_until_ms, self._renewals_until_ms)
+
+    def note_stale_order(self, until_ms: float) -> None:
+        """Record that an order for an earlier incarnation may be executed until *until_ms*."""
+        self._stale_orders_until_ms = max(self._stale_orders_until_ms, until_ms)
+
     def answer_source(self, answer_born_ms: int) -> AnswerSource:
         """Return which incarnation an answer with this start time (0 if none) is from."""
         return classify_answer(answer_born_ms, self.born_ms, self.clock.is_known)
@@ -185,7 +202,8 @@
             return False
         if now_ms < self.clock.lapses_by() + LAPSE_MARGIN_MS:
             return False
-        if now_ms < self._stale_orders_until_ms + LAPSE_MARGIN_MS:
+        longest_real_ms = self._lease_durations.longest_real_ms
+        if now_ms < self._stale_orders_until_ms + longest_real_ms + LAPSE_MARGIN_MS:
             return False
         # Leases ordered by an earlier owner are not covered by this clock.
         if now_ms < self.answered_ms + self._lease_durations.lease_real_ms + LAPSE_MARGIN_MS:
@@ -230,7 +248,13 @@
             sent_ms = monotonic_ms()
             order = self._next_order(sent_ms)
             renews_next = not self.clock.is_known or self._is_silent
+            # If the poll is cancelled, it stays unanswered.
+            earlier_until_ms = self._renewals_until_ms
+            if order.until_ms:
+                self._renewals_until_ms = sent_ms + UNANSWERED_ORDER_TTL_MS
             reply = await self._poll(order)
+            if reply.outcome is not CallOutcome.UNKNOWN:
+                self._renewals_until_ms = earlier_until_ms
             answer_source = self.answer_source(reply.born_ms)
             if answer_source is AnswerSource.NEXT:
                 self._owner.note_next_incarnation(self.record.endpoint, reply.born_ms)
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -132,7 +132,9 @@
         if self._tasks[record.endpoint] is not asyncio.current_task():
             self._tasks[record.endpoint].cancel()
         link.close()
-        self._open(EndpointLink(record, *self._link_args, born_ms, replaces_previous=True))
+        starts_until_ms = self._state.unanswered_starts_until_ms(record.endpoint)
+        orders_until_ms = max(link.orders_until_ms, starts_until_ms)
+        self._open(EndpointLink(record, *self._link_args, born_ms, True, orders_until_ms))
 
     def _open(self, link: EndpointLink) -> None:
         endpoint = link.record.endpoint
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -27,6 +27,7 @@
 from foldloom.seed_discovery.owners.messages import StartOrdered
 from foldloom.seed_discovery.owners.sessions import Sessions
 from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 from foldloom.seed_discovery.scheduling.runs import HolderId, RunState
 
 
@@ -144,6 +145,8 @@
         self._note_answerer(link, reply, now_ms)
         if reply.outcome is not CallOutcome.UNKNOWN:
             self._notify_holders(ordered._replace(is_answered=True))
+        else:
+            self._note_stale_start(link, now_ms)
         if reply.outcome is not CallOutcome.DONE:
             self._log_refusal(action, reply)
         if reply.outcome is CallOutcome.FENCED:
@@ -196,6 +199,12 @@
         elif answer_source is AnswerSource.THIS and reply.clock_ms:
             link.note_answer(reply.clock_ms, now_ms)
 
+    def _note_stale_start(self, link: EndpointLink, now_ms: float) -> None:
+        """Note an unanswered start order if *link* was replaced during its call."""
+        present = self._links.get(link.record.endpoint)
+        if present is not None and present is not link:
+            present.note_stale_order(now_ms + UNANSWERED_ORDER_TTL_MS)
+
     def _may_start(self, action: StartAction, now_ms: float) -> bool:
         """Return whether the run is still to be started for a holder with a valid session.
 
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -227,6 +227,10 @@
         self._last_polled_ms.pop(endpoint, None)
         self._lifecycle.speeds.remove(endpoint)
 
+    def unanswered_starts_until_ms(self, endpoint: str) -> float:
+        """Return until when unanswered start orders to *endpoint* may be executed."""
+        return self._unanswered_starts.expires_ms(endpoint)
+
     def exclude_from_placement(self, endpoint: str) -> None:
         """Exclude an endpoint from placement until its next report."""
         candidate = self._candidates.get(endpoint)
--- a/src/foldloom/seed_discovery/owners/unanswered_starts.py
+++ b/src/foldloom/seed_discovery/owners/unanswered_starts.py
@@ -135,6 +135,17 @@
                     stop_sent_ms=float("-inf"), is_stop_confirmed=False
                 )
 
+    def expires_ms(self, endpoint: str) -> float:
+        """Return when the last order to *endpoint* expires; minus infinity if there is none."""
+        return max(
+            (
+                start.expires_ms
+                for stop, start in self._pending.items()
+                if stop.endpoint == endpoint
+            ),
+            default=float("-inf"),
+        )
+
     def stops_due(
         self, endpoints: Container[str], sent_before_ms: float, now_ms: float
     ) -> list[StopAction]:
--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -36,6 +36,7 @@
 )
 from foldloom.seed_discovery.owners.messages import EndCause
 from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 from models.virtual_time import VirtualTimeLoop, run_in_virtual_time
 from test_owners_state import ends_of, start_one
 
@@ -240,6 +241,10 @@
         """Exclude the endpoint from placement."""
         self.state.exclude_from_placement(endpoint)
 
+    def handle_crash(self, endpoint: str) -> None:
+        """Apply a crash to the state."""
+        self.state.handle_crash(endpoint, monotonic_ms())
+
     def note_incarnation_ended(self, endpoint: str, born_ms: int) -> None:
         """End the incarnation in the catalog."""
         self.catalog.end_incarnation(endpoint, born_ms, monotonic_ms())
@@ -512,3 +517,85 @@
         clock.note(500.0, 10.0)
         assert clock.reading_age_ms(510.0, 20.0) == 0.0
         assert clock.reading_age_ms(510.0, 130.0) == pytest.approx(107.6)
+
+
+class _FailingCalls(_Calls):
+    """Fake endpoint whose polls fail with an outcome, 50 ms after they were sent."""
+
+    outcome: CallOutcome | None = None
+
+    async def poll(self, endpoint: EndpointRecord, order: PollOrder) -> PollReply:
+        """Answer, or fail."""
+        if self.outcome is None:
+            return await super().poll(endpoint, order)
+        self.polls.append(order)
+        await asyncio.sleep(0.05)
+        return PollReply(self.outcome)
+
+
+async def _measure_lease_expiry(outcome: CallOutcome, incarnations: int) -> float:
+    """Return after how many milliseconds an incarnation's leases count as expired.
+
+    A renewing poll of the first incarnation has the *outcome*, and each further one is silent.
+    """
+    world = _World()
+    calls = world.calls = _FailingCalls(_BORN_MS)
+    world.links = EndpointLinks(
+        "z", world.state, world.catalog, _LEASE_DURATIONS, cast(Any, calls), world
+    )
+    await world.follow(0.5)
+    calls.outcome = outcome
+    # The poll that is waiting is answered, and the next one renews the lease too.
+    await world.follow(0.4)
+    assert calls.polls[-1].until_ms == 0
+    calls.outcome = CallOutcome.UNKNOWN
+    for number in range(1, incarnations + 1):
+        world.catalog.merge(world.record._replace(born_ms=_BORN_MS + number), monotonic_ms())
+        await world.follow(0.3)
+    began_ms = monotonic_ms()
+    link = world.links.get("w1")
+    assert link is not None
+    assert link.born_ms == _BORN_MS + incarnations
+    while not link.take_lease_expiry(monotonic_ms()):
+        await asyncio.sleep(0.02)
+    world.links.close()
+    return monotonic_ms() - began_ms
+
+
+class TestUnansweredRenewal:
+    """A renewing poll that a later incarnation may execute."""
+
+    @pytest.mark.parametrize("incarnations", [1, 2])
+    def test_it_may_be_executed(self, incarnations: int) -> None:
+        """Leases expire only once it can't be executed any more, in each later incarnation."""
+        play = _measure_lease_expiry(CallOutcome.UNKNOWN, incarnations)
+        waited_ms = run_in_virtual_time(play, VirtualTimeLoop())
+        longest_ms = UNANSWERED_ORDER_TTL_MS + _LEASE_DURATIONS.longest_real_ms
+        assert longest_ms - 1_500.0 < waited_ms < longest_ms
+
+    @pytest.mark.parametrize("outcome", [CallOutcome.DISCONNECTED, CallOutcome.NO_LISTENER])
+    def test_its_connection_ended(self, outcome: CallOutcome) -> None:
+        """No later incarnation executes it, and its leases expire as usual."""
+        waited_ms = run_in_virtual_time(_measure_lease_expiry(outcome, 1), VirtualTimeLoop())
+        assert waited_ms < _LEASE_DURATIONS.longest_real_ms + LAPSE_MARGIN_MS
+
+    def test_it_is_in_flight(self) -> None:
+        """The next incarnation is discovered before the poll is answered."""
+
+        async def play() -> float:
+            world = _World()
+            await world.follow(0.5)
+            assert world.calls.polls[-1].until_ms
+            world.calls.is_silent = True
+            world.catalog.merge(world.record._replace(born_ms=_BORN_MS + 1), monotonic_ms())
+            await world.follow(0.3)
+            link = world.links.get("w1")
+            assert link is not None
+            while not link.take_lease_expiry(monotonic_ms()):
+                await asyncio.sleep(0.02)
+            world.links.close()
+            return monotonic_ms() - link.answered_ms
+
+        waited_ms = run_in_virtual_time(play(), VirtualTimeLoop())
+        longest_ms = UNANSWERED_ORDER_TTL_MS + _LEASE_DURATIONS.longest_real_ms
+        assert longest_ms - 500.0 < waited_ms < longest_ms + 2 * LAPSE_MARGIN_MS
