--- a/src/foldloom/controllers/controller.py
+++ b/src/foldloom/controllers/controller.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from foldloom.controllers.applied import AppliedState
@@ -27,14 +28,18 @@
 from foldloom.controllers.request_handlers import RequestHandlers
 from foldloom.controllers.state import ChangeSet, Publication, ReplicatedState
 from foldloom.controllers.storage import LogStorage
+from foldloom.daemon_threads import call_in_daemon_thread
 from foldloom.logs import CONTROLLER_LOG
 from foldloom.metrics import Metrics
 from foldloom.peers.wire import PeerNetwork
 from foldloom.settings import Settings
 from foldloom.tasks import TaskSet
+from foldloom.time_limits import SuspendAwareTimeout
 
 # Interval between attempts to reopen the log after a disk failure; each one rewrites it whole.
 _REOPEN_INTERVAL_S = 1.0
+# How long a stop waits for the write in progress.
+_CLOSE_TIMEOUT_MS = 1_000.0
 
 
 class Callbacks(NamedTuple):
@@ -192,10 +197,21 @@
                 self.fail(error)
 
     async def stop(self) -> None:
-        """Stop all tasks, then close the storage once the write in progress has ended."""
+        """Stop all tasks, then close the storage once the write in progress has ended.
+
+        A write that does not end in time, because the disk blocks, is given up: until it ends, this
+        process does not open the data folder again.
+        """
         self.step_down()
         await self._tasks.stop()
-        await asyncio.to_thread(self.log.close)
+        try:
+            async with SuspendAwareTimeout(_CLOSE_TIMEOUT_MS):
+                await self.log.aclose()
+        except TimeoutError:
+            self.log.give_up()
+            CONTROLLER_LOG.warning(
+                "A write of the replicated log was given up after {:.0f} ms.", _CLOSE_TIMEOUT_MS
+            )
 
     def successor(self) -> str:
         """Return the voter that is ready to take over leadership, or an empty string."""
@@ -220,8 +236,10 @@
         """
         async with self.state_lock:
             try:
-                await asyncio.to_thread(self.log.close)
-                storage, log = await asyncio.to_thread(open_storage, self._settings)
+                await self.log.aclose()
+                storage, log = await call_in_daemon_thread(
+                    partial(open_storage, self._settings), "log"
+                )
                 await log.rewrite()
             except OSError as error:
                 CONTROLLER_LOG.warning("Reopening the data folder failed: {}.", error)
--- a/src/foldloom/controllers/log.py
+++ b/src/foldloom/controllers/log.py
@@ -9,15 +9,24 @@
 
 import asyncio
 import errno
-import threading
+import os
 from collections.abc import Callable
+from threading import Lock
+from weakref import WeakValueDictionary
 
 from foldloom.controllers.records import Entry, RecoveredLog, Snapshot, TermVote
 from foldloom.controllers.storage import LogStorage, format_folder, quarantine_files
+from foldloom.daemon_threads import DaemonThread
 from foldloom.exceptions import DataLossError
 from foldloom.logs import CONTROLLER_LOG
 from foldloom.settings import Settings
 
+# How long opening a folder waits for a write in progress. Only a write that was given up lasts
+# longer; a process that exits ends it.
+_BUSY_TIMEOUT_S = 0.1
+# By data folder: held during each write, also by one that outlives its controller.
+_LOCKS: WeakValueDictionary[str, Lock] = WeakValueDictionary()
+
 
 class ReplicatedLog:
     """Entries after a snapshot, the term and the vote.
@@ -38,7 +47,8 @@
         self._written_index = self.last_index
         self._durable_index = self.last_index
         self._lock = asyncio.Lock()
-        self._disk_lock = threading.Lock()
+        self._disk_lock = _lock_of(storage.folder)
+        self._disk_thread = DaemonThread("log")
         self._is_closed = False
 
     @property
@@ -189,6 +199,17 @@
             self._is_closed = True
             self._storage.close()
 
+    async def aclose(self) -> None:
+        """Do the same as :meth:`close` without blocking the event loop."""
+        try:
+            await self._disk_thread.call(self.close)
+        finally:
+            self._disk_thread.close()
+
+    def give_up(self) -> None:
+        """Refuse later writes, without waiting for the write in progress."""
+        self._is_closed = True
+
     async def _run_on_disk(self, operation: Callable[[], None]) -> None:
         """Run *operation* in a thread, which continues if the caller is cancelled.
 
@@ -209,7 +230,7 @@
                     self._is_closed = True
                     raise
 
-        await asyncio.to_thread(run)
+        await self._disk_thread.call(run)
 
     def _write(self, entries: list[Entry], truncate_from: int = 0) -> None:
         """Write and sync *entries*; first drop those from *truncate_from* on unless it is 0.
@@ -239,8 +260,22 @@
     """Open the data folder; set a damaged one aside and format a new one.
 
     Raises:
-        OSError: The disk failed.
+        OSError: The disk failed, or an earlier write to the folder has not ended.
     """
+    lock = _lock_of(settings.data_folder)
+    if not lock.acquire(timeout=_BUSY_TIMEOUT_S):
+        raise OSError(errno.EBUSY, "an earlier write to the data folder is still in progress")
+    try:
+        return _open_unlocked(settings)
+    finally:
+        lock.release()
+
+
+def _lock_of(folder: str) -> Lock:
+    return _LOCKS.setdefault(os.path.abspath(folder), Lock())
+
+
+def _open_unlocked(settings: Settings) -> tuple[LogStorage, ReplicatedLog]:
     storage = LogStorage(settings.data_folder, settings.timings.sync_delay_ms)
     try:
         recovered = storage.open()
--- a/src/foldloom/controllers/storage.py
+++ b/src/foldloom/controllers/storage.py
@@ -85,6 +85,11 @@
         self._log_bytes = 0
         self._bytes_written = 0
 
+    @property
+    def folder(self) -> str:
+        """The data folder."""
+        return str(self._folder)
+
     @property
     def identity(self) -> Identity:
         """The folder's identity; valid after :meth:`open`."""
--- a/src/foldloom/seed_discovery/fleet/cache.py
+++ b/src/foldloom/seed_discovery/fleet/cache.py
@@ -10,20 +10,31 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+from functools import partial
 from pathlib import Path
+from threading import Lock
+from weakref import WeakValueDictionary
 
 import msgspec
 import xxhash
 
 from foldloom.controllers.state import NO_PUBLICATION, Publication
 from foldloom.controllers.storage import write_atomically
+from foldloom.daemon_threads import call_in_daemon_thread
 from foldloom.logs import CONFIG_LOG
+from foldloom.time_limits import SuspendAwareTimeout
 
 _FILE_NAME = "published"
 # 64-bit xxh3 digest that precedes the body.
 _CHECKSUM_BYTES = 8
+# How long a stop waits for pending writes.
+_CLOSE_TIMEOUT_MS = 1_000.0
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Publication)
+# Held during each write of a file, so that a write that was given up and one of the folder's next
+# user in the same process do not overlap.
+_LOCKS: WeakValueDictionary[Path, Lock] = WeakValueDictionary()
 
 
 class PublicationCache:
@@ -37,6 +48,8 @@
         self._path = Path(folder) / _FILE_NAME
         self._pending: Publication | None = None
         self._writing: asyncio.Task[None] | None = None
+        self._disk_lock = _LOCKS.setdefault(self._path.absolute(), Lock())
+        self._is_closed = False
 
     def read(self) -> Publication:
         """Return the cached publication, or ``NO_PUBLICATION`` if it is missing or damaged."""
@@ -62,10 +75,21 @@
     async def close(self) -> None:
         """Wait for pending writes; :meth:`write_soon` must not be called afterwards.
 
-        A write that outlives its controller could overwrite the file of the folder's next user.
+        A write that outlives its controller could overwrite the file of the folder's next user. One
+        that does not end in time, because the disk blocks, is given up: its thread does not replace
+        the file afterwards.
         """
-        if self._writing is not None:
-            await self._writing
+        if self._writing is None:
+            return
+        try:
+            async with SuspendAwareTimeout(_CLOSE_TIMEOUT_MS):
+                await self._writing
+        except TimeoutError:
+            CONFIG_LOG.warning(
+                "Writing the configuration cache was given up after {:.0f} ms.", _CLOSE_TIMEOUT_MS
+            )
+        finally:
+            self._is_closed = True
 
     async def _write(self) -> None:
         while self._pending is not None:
@@ -73,6 +97,20 @@
             body = _ENCODER.encode(publication)
             data = xxhash.xxh3_64_digest(body) + body
             try:
-                await asyncio.to_thread(write_atomically, self._path, data, lambda _fd: None)
+                await call_in_daemon_thread(partial(self._replace_file, data), "cache")
             except OSError as error:
                 CONFIG_LOG.warning("Cannot write the configuration cache: {}.", error)
+
+    def _replace_file(self, data: bytes) -> None:
+        with self._disk_lock:
+            self._check_open()
+            write_atomically(self._path, data, lambda _fd: self._check_open())
+
+    def _check_open(self) -> None:
+        """Raise if the write was given up; called before the file is replaced.
+
+        Raises:
+            OSError: The cache is closed.
+        """
+        if self._is_closed:
+            raise OSError(errno.EIO, "the configuration cache is closed")
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -195,6 +195,20 @@
 
         play(scenario, tmp_path)
 
+    def test_it_exits_during_a_snapshot(self, tmp_path: Path) -> None:
+        """The process exits in time, although a write of its replicated log blocks."""
+
+        async def scenario(system: PlatformSystem) -> None:
+            os.mkfifo(tmp_path / "c0" / "snapshot.tmp")
+            version = 2
+            # Until a snapshot is due, whose write holds the log.
+            while await system.configure(version):
+                version += 1
+            assert await _exit_code(system, "c0", gaps_s=(0.0,)) == 0
+            assert system.events("c0", "process.stopped")
+
+        play(scenario, tmp_path)
+
 
 class TestStuckProcess:
     """A process that is still there after the timeout of its planned stop."""
