--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -22,7 +22,6 @@
 )
 from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, EndpointClock
-from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 
 # Long-poll wait; short enough that two polls may be lost before a lease of default length expires.
 _POLL_WAIT_MS = 200
@@ -156,8 +155,6 @@
         self._stale_orders_until_ms = orders_until_ms
         if replaces_previous:
             self.note_stale_order(self.answered_ms)
-        # Until when a later incarnation may execute a renewing poll meant for this one.
-        self._renewals_until_ms = float("-inf")
         self._last_sequence = 0
         self._last_poll_succeeded = False
         self._is_silent = False
@@ -176,11 +173,8 @@
 
     @property
     def orders_until_ms(self) -> float:
-        """Until when the next incarnation may execute orders meant for this or an earlier one.
-
-        Unanswered start orders for this incarnation are not included.
-        """
-        return max(self._stale_orders_until_ms, self._renewals_until_ms)
+        """Until when the next incarnation may execute start orders meant for an earlier one."""
+        return self._stale_orders_until_ms
 
     def note_stale_order(self, until_ms: float) -> None:
         """Record that an order for an earlier incarnation may be executed until *until_ms*."""
@@ -248,13 +242,7 @@
             sent_ms = monotonic_ms()
             order = self._next_order(sent_ms)
             renews_next = not self.clock.is_known or self._is_silent
-            # If the poll is cancelled, it stays unanswered.
-            earlier_until_ms = self._renewals_until_ms
-            if order.until_ms:
-                self._renewals_until_ms = sent_ms + UNANSWERED_ORDER_TTL_MS
             reply = await self._poll(order)
-            if reply.outcome is not CallOutcome.UNKNOWN:
-                self._renewals_until_ms = earlier_until_ms
             answer_source = self.answer_source(reply.born_ms)
             if answer_source is AnswerSource.NEXT:
                 self._owner.note_next_incarnation(self.record.endpoint, reply.born_ms)
