--- a/src/foldloom/seed_discovery/owners/task_histories.py
+++ b/src/foldloom/seed_discovery/owners/task_histories.py
@@ -17,6 +17,10 @@
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 from foldloom.seed_discovery.scheduling.crashes import CrashCount
 
+# Longer than a report is retransmitted; shorter than an owner keeps a task's attempt numbers
+# (TOMBSTONE_TTL_MS), after which an order of a later submission may look the same.
+_LIFTED_TTL_MS = 4_000.0
+
 
 class _ReportedBinding(NamedTuple):
     """A task's binding to an endpoint.
@@ -34,13 +38,21 @@
     expires_ms: float
 
 
+class _LiftedBinding(NamedTuple):
+    """A binding that was lifted by the owner with *token*, recorded until ``expires_ms``."""
+
+    token: int
+    expires_ms: float
+
+
 class TaskHistories:
     """The reported crash counts and bindings by task, kept as long as an owner keeps them."""
 
     def __init__(self) -> None:
         self._crashes = CrashRecords()
         self._bindings: dict[TaskId, _ReportedBinding] = {}
-        self._lifted: dict[RunId, float] = {}
+        # By order. Another zone, and a later owner or submission, use the same attempts again.
+        self._lifted: dict[tuple[RunId, str], _LiftedBinding] = {}
 
     def note_crashes(self, report: TaskCrashes, now_ms: float) -> None:
         """Record a count reported by an owner; a count of 0 means that the task ended normally."""
@@ -57,8 +69,8 @@
         self._expire_bindings(now_ms)
         task, attempt = binding.run_id
         if binding.is_lifted:
-            self._lifted[binding.run_id] = now_ms + UNANSWERED_ORDER_TTL_MS
-        elif binding.run_id in self._lifted:
+            self._note_lifted(binding, token, now_ms)
+        elif self._was_lifted(binding, token):
             # A retransmitted report: the order was executed or refused meanwhile.
             return
         known = self._bindings.get(task)
@@ -105,10 +117,23 @@
                 bindings.append(known.binding)
         return message._replace(orders=orders, bindings=tuple(bindings))
 
+    def _note_lifted(self, binding: EndpointBinding, token: int, now_ms: float) -> None:
+        order = (binding.run_id, binding.endpoint)
+        self._lifted.pop(order, None)
+        self._lifted[order] = _LiftedBinding(token, now_ms + _LIFTED_TTL_MS)
+
+    def _was_lifted(self, binding: EndpointBinding, token: int) -> bool:
+        """Return whether *binding* was lifted by the owner with *token* or a later one."""
+        lifted = self._lifted.get((binding.run_id, binding.endpoint))
+        return lifted is not None and token <= lifted.token
+
     def _expire_bindings(self, now_ms: float) -> None:
         # Insertion order is the order of expiry.
-        while self._lifted and next(iter(self._lifted.values())) <= now_ms:
-            del self._lifted[next(iter(self._lifted))]
+        while self._lifted:
+            order, lifted = next(iter(self._lifted.items()))
+            if now_ms < lifted.expires_ms:
+                break
+            del self._lifted[order]
         while self._bindings:
             task, known = next(iter(self._bindings.items()))
             if now_ms < known.expires_ms:
--- /dev/null
+++ b/tests/test_owners_earlier_cancels.py
@@ -0,0 +1,79 @@
+# SPDX-License-Identifier: MIT
+"""A task on two endpoints: an earlier submission of its job had been cancelled.
+
+The record of the earlier start order, or of its cancel, hid the unanswered one of the later
+submission. Simulated zones.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from models.earlier_cancels import RepeatedZoneWorld, SlowAnswerWorld
+from models.late_orders import UNANSWERED_S, UNTIL_ORDER_S
+from models.settled_zones import run_in_settled_zones
+
+_LEAVE_AFTER_S = UNTIL_ORDER_S + 0.02
+
+
+@pytest.mark.parametrize("are_births_known", [False, True])
+@pytest.mark.parametrize("leave_after_s", [None, _LEAVE_AFTER_S])
+@pytest.mark.parametrize("seed", range(4))
+class TestCancelledBefore:
+    """The job was submitted in the first zone, and cancelled while its start was in flight."""
+
+    def test_killed_owner(
+        self, seed: int, leave_after_s: float | None, are_births_known: bool
+    ) -> None:
+        """The second zone's owner is killed while the next start is in flight."""
+        world = run_in_settled_zones(
+            SlowAnswerWorld,
+            seed,
+            lambda world: world.kill_second_owner(0.1, leave_after_s),
+            are_births_known,
+        )
+        assert world.doubled == [], world.start_log
+
+    def test_submitted_again(
+        self, seed: int, leave_after_s: float | None, are_births_known: bool
+    ) -> None:
+        """The caller disconnects again, and submits the job in the first zone."""
+        world = run_in_settled_zones(
+            SlowAnswerWorld,
+            seed,
+            lambda world: world.submit_thrice(UNANSWERED_S, leave_after_s),
+            are_births_known,
+        )
+        assert world.doubled == [], world.start_log
+
+
+@pytest.mark.parametrize("are_births_known", [False, True])
+@pytest.mark.parametrize("leave_after_s", [None, _LEAVE_AFTER_S])
+@pytest.mark.parametrize("seed", range(4))
+class TestCancelledInTheSameZone:
+    """The same zone both times; the owner is killed while the second start is in flight."""
+
+    @pytest.mark.parametrize("wait_s", [0.1, 7.0])
+    def test_killed_owner(
+        self, seed: int, leave_after_s: float | None, are_births_known: bool, wait_s: float
+    ) -> None:
+        """The tombstone of the first run expires after 6 s."""
+        world = run_in_settled_zones(
+            RepeatedZoneWorld,
+            seed,
+            lambda world: world.submit_again(wait_s, leave_after_s),
+            are_births_known,
+        )
+        assert world.doubled == [], world.start_log
+
+    def test_replaced_owner(
+        self, seed: int, leave_after_s: float | None, are_births_known: bool
+    ) -> None:
+        """A new owner of the zone has no tombstone."""
+        world = run_in_settled_zones(
+            RepeatedZoneWorld,
+            seed,
+            lambda world: world.submit_again(0.1, leave_after_s, True),
+            are_births_known,
+        )
+        assert world.doubled == [], world.start_log
--- a/tests/test_owners_task_histories.py
+++ b/tests/test_owners_task_histories.py
@@ -7,6 +7,7 @@
 from foldloom.seed_discovery.owners.crash_records import CRASH_RECORD_TTL_MS
 from foldloom.seed_discovery.owners.messages import EndpointBinding, TaskCrashes
 from foldloom.seed_discovery.owners.task_histories import TaskHistories
+from foldloom.seed_discovery.owners.tombstones import TOMBSTONE_TTL_MS
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
 from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from test_owners_state import submission
@@ -68,6 +69,35 @@
         histories.note_binding("a", _BINDING._replace(is_lifted=True), 1.0)
         assert histories.bound_zone(_TASK, 2.0) is None
 
+    def test_retransmitted(self) -> None:
+        """A report that arrives again after the binding was lifted has no effect."""
+        histories = TaskHistories()
+        histories.note_binding("a", _BINDING, 0.0, 1)
+        histories.note_binding("a", _BINDING._replace(is_lifted=True), 1.0, 1)
+        histories.note_binding("a", _BINDING, 2.0, 1)
+        assert histories.bound_zone(_TASK, 3.0) is None
+
+    def test_same_attempt_in_another_zone(self) -> None:
+        """Another zone's order of the same attempt is not the one that was lifted."""
+        histories = TaskHistories()
+        histories.note_binding("a", _BINDING._replace(is_lifted=True), 0.0, 1)
+        histories.note_binding("b", _BINDING._replace(endpoint="w-b"), 1.0, 2)
+        assert histories.bound_zone(_TASK, 2.0) == "b"
+
+    def test_same_attempt_of_a_later_owner(self) -> None:
+        """A later owner does not know the attempts of the earlier one."""
+        histories = TaskHistories()
+        histories.note_binding("a", _BINDING._replace(is_lifted=True), 0.0, 1)
+        histories.note_binding("a", _BINDING, 1.0, 2)
+        assert histories.bound_zone(_TASK, 2.0) == "a"
+
+    def test_same_attempt_after_the_tombstone(self) -> None:
+        """Once its tombstone has expired, the owner itself uses the attempt again."""
+        histories = TaskHistories()
+        histories.note_binding("a", _BINDING._replace(is_lifted=True), 0.0, 1)
+        histories.note_binding("a", _BINDING, TOMBSTONE_TTL_MS, 1)
+        assert histories.bound_zone(_TASK, TOMBSTONE_TTL_MS + 1.0) == "a"
+
     def test_late_report_of_an_earlier_attempt(self) -> None:
         """A repeated or late report does not lift the binding of a later attempt."""
         histories = TaskHistories()
