--- a/src/foldloom/seed_discovery/owners/cancels.py
+++ b/src/foldloom/seed_discovery/owners/cancels.py
@@ -55,7 +55,7 @@
             if not withdrawal.needs_cancel:
                 continue
             job_id, zone = withdrawal.job_id, withdrawal.owner.zone
-            cancels[zone] = self._tasks.spawn(self._cancel(withdrawal))
+            cancels[zone] = self._tasks.spawn(self._cancel(withdrawal, monotonic_ms()))
             self._zones_by_job.setdefault(job_id, []).append(zone)
             self._tasks.spawn(self._record_until_gone(job_id, zone, cancels[zone]))
         return cancels
@@ -93,8 +93,8 @@
         if not zones:
             del self._zones_by_job[job_id]
 
-    async def _cancel(self, withdrawal: Withdrawal) -> CancelAnswer:
-        """Cancel the withdrawn runs at their owner; return its answer.
+    async def _cancel(self, withdrawal: Withdrawal, withdrawn_ms: float) -> CancelAnswer:
+        """Cancel the runs withdrawn at *withdrawn_ms* at their owner; return its answer.
 
         Retransmits until the owner answers or its grant ends; otherwise the owner would continue
         the runs for as long as this box acknowledges its heartbeats. "Not started" is accepted
@@ -110,7 +110,7 @@
             except PeerUnreachableError:
                 # Retransmitted; a caller that stops waiting is told that the job may have run.
                 continue
-            connection.note_cancel_answered(withdrawal.job_id)
+            connection.note_cancel_answered(withdrawal.job_id, withdrawn_ms)
             if reply.has_started:
                 return CancelAnswer.STARTED
             if monotonic_ms() >= withdrawal.reply_valid_until_ms:
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -173,9 +173,9 @@
             self._cancelled_starts.note(start, monotonic_ms())
         return withdraw(batches, self._owner, self._grant.number)
 
-    def note_cancel_answered(self, job_id: str) -> None:
-        """Record that the owner has stopped the withdrawn runs of a job."""
-        self._cancelled_starts.discard_job(job_id)
+    def note_cancel_answered(self, job_id: str, withdrawn_ms: float) -> None:
+        """Record that the owner has stopped the runs of a job withdrawn at *withdrawn_ms*."""
+        self._cancelled_starts.discard_job(job_id, withdrawn_ms)
 
     def report_lost_starts(self) -> None:
         """Bind the tasks of withdrawn runs, and of runs of the owner's box, if it is silent.
--- a/src/foldloom/seed_discovery/owners/starts_in_flight.py
+++ b/src/foldloom/seed_discovery/owners/starts_in_flight.py
@@ -15,10 +15,10 @@
 
 
 class _Start(NamedTuple):
-    """A start order to *endpoint*, which may be executed until ``expires_ms``."""
+    """A start order to *endpoint*, noted at ``noted_ms`` by the box's monotonic clock."""
 
     endpoint: str
-    expires_ms: float
+    noted_ms: float
 
 
 class StartsInFlight:
@@ -32,12 +32,18 @@
         self._expire(now_ms)
         self._starts.pop(start.run_id, None)
         if not start.is_answered:
-            self._starts[start.run_id] = _Start(start.endpoint, now_ms + UNANSWERED_ORDER_TTL_MS)
+            self._starts[start.run_id] = _Start(start.endpoint, now_ms)
 
-    def discard_job(self, job_id: str) -> None:
-        """Remove the start orders of a job, which the owner has stopped."""
-        for run_id in [run_id for run_id in self._starts if run_id.task.job_id == job_id]:
-            del self._starts[run_id]
+    def discard_job(self, job_id: str, until_ms: float) -> None:
+        """Remove the start orders of a job that were noted up to *until_ms*.
+
+        Those noted later are of a later submission under the same id.
+        """
+        self._starts = {
+            run_id: start
+            for run_id, start in self._starts.items()
+            if run_id.task.job_id != job_id or start.noted_ms > until_ms
+        }
 
     def pop_bindings(self, now_ms: float) -> list[EndpointBinding]:
         """Return and remove the start orders, each as a binding of its task."""
@@ -49,6 +55,6 @@
         # Insertion order is the order of expiry.
         while self._starts:
             run_id, start = next(iter(self._starts.items()))
-            if now_ms < start.expires_ms:
+            if now_ms < start.noted_ms + UNANSWERED_ORDER_TTL_MS:
                 return
             del self._starts[run_id]
--- a/tests/test_owners_earlier_cancels.py
+++ b/tests/test_owners_earlier_cancels.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from models.earlier_cancels import RepeatedZoneWorld, SlowAnswerWorld
+from models.earlier_cancels import (
+    LateCancelAnswerWorld,
+    RepeatedZoneWorld,
+    SlowAnswerWorld,
+    VeryLateCancelAnswerWorld,
+)
 from models.late_orders import UNANSWERED_S, UNTIL_ORDER_S
 from models.settled_zones import run_in_settled_zones
 
@@ -77,3 +82,17 @@
             are_births_known,
         )
         assert world.doubled == [], world.start_log
+
+
+@pytest.mark.parametrize("world_type", [LateCancelAnswerWorld, VeryLateCancelAnswerWorld])
+@pytest.mark.parametrize("are_births_known", [False, True])
+@pytest.mark.parametrize("seed", range(4))
+class TestLateCancelAnswer:
+    """The answer to an earlier cancel arrives after a later submission was cancelled too."""
+
+    def test_killed_owner(self, seed: int, are_births_known: bool, world_type: type) -> None:
+        """The owner is killed before it receives the second cancel."""
+        world = run_in_settled_zones(
+            world_type, seed, lambda world: world.submit_thrice(), are_births_known
+        )
+        assert world.doubled == [], world.start_log
