--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -134,6 +134,8 @@
 
     def note_start(self, start: StartOrdered, token: int) -> None:
         """Record a start order of the owner with *token* for one of this box's runs."""
+        if token < self._owner.token:
+            self._note_late_start(start, token)
         if token != self._owner.token:
             return
         if start.is_answered:
@@ -144,9 +146,19 @@
 
     def note_owner_start(self, start: StartOrdered, token: int) -> None:
         """Record a start order of the owner with *token* for a run of the owner's own box."""
+        if token < self._owner.token:
+            self._note_late_start(start, token)
         if token == self._owner.token:
             self._owner_starts.note(start, monotonic_ms())
 
+    def _note_late_start(self, start: StartOrdered, token: int) -> None:
+        """Bind the task of a start order of the earlier owner with *token*, unless answered.
+
+        That owner sent it before it was replaced, and the next one does not know of it.
+        """
+        binding = EndpointBinding(start.run_id, start.endpoint, is_lifted=start.is_answered)
+        self._histories.note_binding(self.zone, binding, monotonic_ms(), token)
+
     def pop_lost(self) -> list[LostRun]:
         """Return and drop the runs that ended with an expired grant."""
         self._end_expired_grant(monotonic_ms())
