--- a/tests/models/reset_clocks.py
+++ b/tests/models/reset_clocks.py
@@ -11,6 +11,11 @@
 from models.settled_zones import NEVER_MS, SettledZonesWorld
 from models.zones_world import ZONES
 
+_CLOCK_RATE = 0.98
+_REDISCOVERED_S = 0.5
+_TASK_MS = 1_800.0
+_CHECK_S = 0.01
+
 
 class ClockWorld(SettledZonesWorld):
     """An endpoint restarts under its id without any birth, and its clock starts again."""
@@ -22,12 +27,12 @@
         await asyncio.sleep(before_s)
         if self.restarts:
             for name in self.endpoints:
-                self.endpoints[name] = SimulatedEndpoint(name, 0.98, monotonic_ms())
-        await asyncio.sleep(0.5)
+                self.endpoints[name] = SimulatedEndpoint(name, _CLOCK_RATE, monotonic_ms())
+        await asyncio.sleep(_REDISCOVERED_S)
         box = self.boxes_in(ZONES[0])[1]
-        call = asyncio.create_task(self.call(box, JOB, 1, 1_800.0, NEVER_MS))
+        call = asyncio.create_task(self.call(box, JOB, 1, _TASK_MS, NEVER_MS))
         while not any(endpoint.active for endpoint in self.endpoints.values()):
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(_CHECK_S)
         await asyncio.sleep(runs_s)
         name = next(name for name, endpoint in self.endpoints.items() if endpoint.active)
         self.trouble.deaf.add(name)
--- a/tests/models/resigning_owners.py
+++ b/tests/models/resigning_owners.py
@@ -12,12 +12,16 @@
 from models.virtual_time import PausableLoop
 from models.zones_world import ZONES
 
+_KILLED_AFTER_S = 0.01
+# Keeps two messages of one sender in order.
+_ORDER_S = 1e-6
+
 
 class PlannedStopWorld(LateOrderWorld):
     """The owner resigns while a start is in flight."""
 
     async def resign(self, after_s: float, is_submitted_to_owner: bool, is_killed: bool) -> None:
-        """Submit a job; the owner resigns, and may be gone soon."""
+        """Submit a job; the owner resigns, and may be killed just after."""
         owner, other = self.boxes_in(ZONES[0])
         box = owner if is_submitted_to_owner else other
         call = asyncio.create_task(self.call(box, JOB, 1, TASK_MS, NEVER_MS))
@@ -26,7 +30,7 @@
         self.turns.deliver(self.context_of(owner), self.boxes[owner].elector.resign)
         self.silence_endpoint()
         if is_killed:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(_KILLED_AFTER_S)
             self.kill_box(owner)
         await call
         if is_killed and is_submitted_to_owner:
@@ -59,7 +63,7 @@
         if is_notice:
             arrives_s += self.notice_delay_s
         link = (envelope.sender, box)
-        arrives_s = max(arrives_s, self._arrivals.get(link, 0.0) + 1e-6)
+        arrives_s = max(arrives_s, self._arrivals.get(link, 0.0) + _ORDER_S)
         self._arrivals[link] = arrives_s
 
         def arrive() -> None:
--- a/tests/models/unstoppable_runs.py
+++ b/tests/models/unstoppable_runs.py
@@ -14,6 +14,9 @@
 from models.virtual_time import PausableLoop
 from models.zones_world import ZONES
 
+_DISCONNECTED_AFTER_S = 0.002
+_UNREACHABLE_AFTER_S = 0.003
+
 
 class DisconnectedWorld(SettledZonesWorld):
     """The first start order ends with a disconnection, and its endpoint executes it later.
@@ -27,7 +30,6 @@
     def __init__(self, seed: int, loop: PausableLoop) -> None:
         super().__init__(seed, loop)
         self.ordered = asyncio.Event()
-        self.replies: list[CallReply] = []
         self._endpoint = ""
 
     def record_start_order(self, box: str, endpoint: str, run_id: RunId) -> None:
@@ -50,13 +52,14 @@
         self.trouble.deaf.add(endpoint)
 
         def execute() -> None:
-            self.replies.append(carry_out())
+            carry_out()
             self.trouble.deaf.clear()
 
         self._call_later(self.executed_after_s, execute)
         if self.outcome is CallOutcome.DISCONNECTED:
             self._call_later(
-                0.002, lambda: reply.done() or reply.set_result(CallReply(self.outcome))
+                _DISCONNECTED_AFTER_S,
+                lambda: reply.done() or reply.set_result(CallReply(self.outcome)),
             )
         return reply
 
@@ -94,6 +97,6 @@
         """Execute the first order."""
         if not self.ordered.is_set():
             self.ordered.set()
-            self._call_later(0.003, lambda: self.trouble.deaf.add(endpoint))
+            self._call_later(_UNREACHABLE_AFTER_S, lambda: self.trouble.deaf.add(endpoint))
             self._call_later(self.executed_after_s, self.trouble.deaf.clear)
         return SettledZonesWorld.order(self, context, box, endpoint, carry_out)
--- a/tests/test_owners_earlier_cancels.py
+++ b/tests/test_owners_earlier_cancels.py
@@ -9,16 +9,19 @@
 
 import pytest
 
+from foldloom.seed_discovery.owners.tombstones import TOMBSTONE_TTL_MS
 from models.earlier_cancels import (
     LateCancelAnswerWorld,
-    RepeatedZoneWorld,
-    SlowAnswerWorld,
+    OtherZoneWorld,
+    SameZoneWorld,
     VeryLateCancelAnswerWorld,
 )
-from models.late_orders import UNANSWERED_S, UNTIL_ORDER_S
+from models.late_orders import UNTIL_ORDER_S
 from models.settled_zones import run_in_settled_zones
 
 _LEAVE_AFTER_S = UNTIL_ORDER_S + 0.02
+_RESUBMIT_AFTER_S = 0.1
+_TOMBSTONE_EXPIRED_S = TOMBSTONE_TTL_MS / 1_000 + 1.0
 
 
 @pytest.mark.parametrize("are_births_known", [False, True])
@@ -32,9 +35,9 @@
     ) -> None:
         """The second zone's owner is killed while the next start is in flight."""
         world = run_in_settled_zones(
-            SlowAnswerWorld,
+            OtherZoneWorld,
             seed,
-            lambda world: world.kill_second_owner(0.1, leave_after_s),
+            lambda world: world.kill_second_owner(leave_after_s),
             are_births_known,
         )
         assert world.doubled == [], world.start_log
@@ -44,9 +47,9 @@
     ) -> None:
         """The caller disconnects again, and submits the job in the first zone."""
         world = run_in_settled_zones(
-            SlowAnswerWorld,
+            OtherZoneWorld,
             seed,
-            lambda world: world.submit_thrice(UNANSWERED_S, leave_after_s),
+            lambda world: world.submit_thrice(leave_after_s),
             are_births_known,
         )
         assert world.doubled == [], world.start_log
@@ -58,13 +61,13 @@
 class TestCancelledInTheSameZone:
     """The same zone both times; the owner is killed while the second start is in flight."""
 
-    @pytest.mark.parametrize("wait_s", [0.1, 7.0])
+    @pytest.mark.parametrize("wait_s", [_RESUBMIT_AFTER_S, _TOMBSTONE_EXPIRED_S])
     def test_killed_owner(
         self, seed: int, leave_after_s: float | None, are_births_known: bool, wait_s: float
     ) -> None:
-        """The tombstone of the first run expires after 6 s."""
+        """The owner may have forgotten the attempts of the first submission."""
         world = run_in_settled_zones(
-            RepeatedZoneWorld,
+            SameZoneWorld,
             seed,
             lambda world: world.submit_again(wait_s, leave_after_s),
             are_births_known,
@@ -76,9 +79,9 @@
     ) -> None:
         """A new owner of the zone has no tombstone."""
         world = run_in_settled_zones(
-            RepeatedZoneWorld,
+            SameZoneWorld,
             seed,
-            lambda world: world.submit_again(0.1, leave_after_s, True),
+            lambda world: world.submit_again(_RESUBMIT_AFTER_S, leave_after_s, True),
             are_births_known,
         )
         assert world.doubled == [], world.start_log
