Measure the delay of each box's event loop, its queue and its placement

What callers saw: jobs that expired at a box that was neither lost nor suspended; no log or metric could tell a late box from a slow endpoint.

Added: timers loop_delay_ms (a timer of 25 ms) and message_age_ms, gauges of processor time and of an owner's queue, counters of placement rounds, of their processor time and of overdue answers by call; a log line process.behind, one a second at most, while the standing delay is 20 ms or more. foldloom explain names the boxes of a job that were behind, and by how much.

The standing delay is the shortest of four samples, so that one pause, which process.paused reports, does not count. Price: 40 samples a second a process, and two reads of the thread's clock a placement round.

--- a/src/foldloom/cli/explain.py
+++ b/src/foldloom/cli/explain.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -15,6 +16,9 @@
 _HEADER_KEYS = ("time", "box", "event")
 _HIDDEN_FIELDS = frozenset((*_HEADER_KEYS, "level", "part", "job"))
 _JOB_ENDED = "job.ended"
+_BEHIND = "process.behind"
+# Reach of a delay's line before and after the job's own lines: boxes log their delay once a second.
+_BEHIND_MARGIN = timedelta(seconds=1)
 _CONTEXT_EVENTS = frozenset(
     (
         "owner.claimed",
@@ -24,6 +28,7 @@
         "endpoint.lapsed",
         "endpoint.answers",
         "session.ended",
+        "process.behind",
         "process.up",
         "process.stopping",
         "process.stopped",
@@ -95,16 +100,20 @@
     if not job_lines:
         return Life(job, [], "", "not found in the logs")
     first, last = job_lines[0].time, job_lines[-1].time
+    earliest, latest = _with_margin(first, last)
     boxes = {line.box for line in job_lines}
     shown = [
         line
         for line in all_lines
         if line in job_lines or (line.event in _CONTEXT_EVENTS and line.box in boxes)
-        if first <= line.time <= last
+        if first <= line.time <= last or (line.event == _BEHIND and earliest <= line.time <= latest)
     ]
+    delays = [line for line in shown if line.event == _BEHIND]
     end_lines = [line for line in job_lines if line.event == _JOB_ENDED]
     outcome = "" if not end_lines else str(end_lines[-1].fields.get("outcome", ""))
-    return Life(str(job_lines[0].fields["job"]), shown, outcome, _cause(job_lines, end_lines))
+    return Life(
+        str(job_lines[0].fields["job"]), shown, outcome, _cause(job_lines, end_lines, delays)
+    )
 
 
 def life_text(life: Life) -> str:
@@ -121,8 +130,24 @@
     return "\n".join([*shown, f"outcome: {life.outcome or 'unknown'}", f"cause: {life.cause}"])
 
 
-def _cause(job_lines: list[LogLine], end_lines: list[LogLine]) -> str:
-    """Return lost owners, resumed runs, retries and the final reason, separated by semicolons."""
+def _with_margin(first: str, last: str) -> tuple[str, str]:
+    """Return the times between which a delay of a box may concern a job; ISO 8601."""
+    return (
+        (datetime.fromisoformat(first) - _BEHIND_MARGIN).isoformat(),
+        (datetime.fromisoformat(last) + _BEHIND_MARGIN).isoformat(),
+    )
+
+
+def _longest_delays(delays: list[LogLine]) -> list[str]:
+    """Return for each box that was late how late it was at the most."""
+    longest: dict[str, int] = {}
+    for line in delays:
+        longest[line.box] = max(longest.get(line.box, 0), int(line.fields.get("delay_ms", 0)))
+    return [f"{box} was behind by {delay_ms} ms" for box, delay_ms in longest.items()]
+
+
+def _cause(job_lines: list[LogLine], end_lines: list[LogLine], delays: list[LogLine]) -> str:
+    """Return late boxes, lost owners, resumed runs, retries and the final reason."""
     reasons = [str(line.fields.get("reason", "")) for line in end_lines]
     retries = [
         f"{line.fields.get('run')} {line.fields.get('cause')} on {line.fields.get('endpoint')}"
@@ -137,7 +162,9 @@
         for line in job_lines
         if line.event == "runs.resumed"
     ]
-    parts = [part for part in [*lost, *resumed, *retries, *reasons] if part]
+    parts = [
+        part for part in [*_longest_delays(delays), *lost, *resumed, *retries, *reasons] if part
+    ]
     return "; ".join(parts) or "no failures in the logs"
 
 
--- /dev/null
+++ b/src/foldloom/loop_delay.py
@@ -0,0 +1,82 @@
+# SPDX-License-Identifier: MIT
+"""Measures how late this process's event loop is: how long any event waits before it is handled.
+
+A box that lacks processor time answers late and looks partitioned to others. The delay is a metric,
+and it is logged while it is long.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from foldloom.clock import monotonic_ms
+from foldloom.logs import PROCESS_LOG
+from foldloom.metrics import Metrics
+
+# Time between two samples.
+_SAMPLE_INTERVAL_MS = 25.0
+# Samples of which the shortest delay counts as standing, so that a single pause does not.
+_STANDING_SAMPLES = 4
+# Standing delay that is logged: about a round trip and a half in the zone is lost to each call.
+_LOGGED_DELAY_MS = 20.0
+# Time between two lines of the log.
+_LOG_INTERVAL_MS = 1_000.0
+
+
+def no_details() -> Mapping[str, object]:
+    """Return no fields for the log line of a delay."""
+    return {}
+
+
+class LoopDelay:
+    """The delay of the running event loop.
+
+    Args:
+        metrics: This box's metrics.
+        details: Returns further fields for the log line, such as the length of the box's queue.
+    """
+
+    def __init__(
+        self, metrics: Metrics, details: Callable[[], Mapping[str, object]] = no_details
+    ) -> None:
+        self._metrics = metrics
+        self._details = details
+        self._delays_ms: deque[float] = deque([0.0], maxlen=_STANDING_SAMPLES)
+        self._logged_ms = monotonic_ms()
+        self._logged_processor_s = time.process_time()
+
+    @property
+    def standing_ms(self) -> float:
+        """The delay that events have at present, in milliseconds; not that of a single pause."""
+        return min(self._delays_ms)
+
+    async def run(self) -> None:
+        """Sample the delay until cancelled."""
+        while True:
+            began_ms = monotonic_ms()
+            await asyncio.sleep(_SAMPLE_INTERVAL_MS / 1_000)
+            now_ms = monotonic_ms()
+            self.note(max(0.0, now_ms - began_ms - _SAMPLE_INTERVAL_MS), now_ms)
+
+    def note(self, delay_ms: float, now_ms: float) -> None:
+        """Record a sample of the delay, and log the standing delay if it is long."""
+        self._delays_ms.append(delay_ms)
+        self._metrics.timing("loop_delay_ms", delay_ms)
+        elapsed_ms = now_ms - self._logged_ms
+        if elapsed_ms < _LOG_INTERVAL_MS:
+            return
+        processor_s = time.process_time()
+        used_ms = (processor_s - self._logged_processor_s) * 1_000
+        self._logged_ms, self._logged_processor_s = now_ms, processor_s
+        self._metrics.gauge("processor_permille", 1_000 * used_ms / elapsed_ms)
+        if self.standing_ms >= _LOGGED_DELAY_MS:
+            PROCESS_LOG.event(
+                "process.behind",
+                delay_ms=int(self.standing_ms),
+                processor_ms=int(used_ms),
+                elapsed_ms=int(elapsed_ms),
+                **self._details(),
+            )
--- a/src/foldloom/peers/wire.py
+++ b/src/foldloom/peers/wire.py
@@ -241,6 +241,7 @@
         if age_ms is None:
             self._metrics.count("messages.dropped.old-incarnation", len(envelope.frames))
             return
+        self._metrics.timing("message_age_ms", age_ms)
         for frame in envelope.frames:
             if age_ms > frame.ttl_ms:
                 self._probes.record_expired(envelope.sender, frame, age_ms)
--- a/src/foldloom/seed_discovery/controller_box.py
+++ b/src/foldloom/seed_discovery/controller_box.py
@@ -19,6 +19,7 @@
 from foldloom.controllers.storage import format_folder
 from foldloom.ids import new_incarnation
 from foldloom.logs import CONFIG_LOG, CONTROLLER_LOG
+from foldloom.loop_delay import LoopDelay
 from foldloom.metrics import Metrics
 from foldloom.metrics_server import MetricsServer
 from foldloom.pauses import log_pause, watch_pauses
@@ -119,6 +120,7 @@
         await self._network.start()
         await self._metrics_server.start()
         self._tasks.spawn(watch_pauses(log_pause))
+        self._tasks.spawn(LoopDelay(self._metrics).run())
         self._tasks.spawn(self._controller.run())
         self._tasks.spawn(self._registry.run())
         self._tasks.spawn(self._joiner.run())
--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from foldloom.clock import monotonic_ms
 from foldloom.controllers.state import Publication
 from foldloom.ids import new_incarnation
 from foldloom.logs import CONFIG_LOG, ENTRY_LOG
+from foldloom.loop_delay import LoopDelay
 from foldloom.metrics import Metrics
 from foldloom.metrics_server import MetricsServer
 from foldloom.pauses import log_pause, watch_pauses
@@ -64,6 +65,7 @@
         self._read_queues = read_queues
         self._queues: QueueTable | None = None
         self._metrics = Metrics(settings.statsd)
+        self._loop_delay = LoopDelay(self._metrics, self._queue_details)
         self._metrics_server = MetricsServer(self._metrics, settings.metrics_address)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
         own = BoxRecord(
@@ -112,6 +114,7 @@
         await self._network.start()
         await self._metrics_server.start()
         self._tasks.spawn(watch_pauses(log_pause))
+        self._tasks.spawn(self._loop_delay.run())
         self._tasks.spawn(self._joiner.run())
         self._tasks.spawn(self._elector.run())
         self._tasks.spawn(self._client.run())
@@ -184,6 +187,13 @@
                 self._holder.pull_newer(heartbeat.owner.box, heartbeat.published_version)
             )
 
+    def _queue_details(self) -> Mapping[str, object]:
+        """Return the state of the zone's queue if this box owns it, for a log line."""
+        owner = self._elector.owner
+        if owner is None:
+            return {"jobs": self._jobs.running_count}
+        return {"jobs": self._jobs.running_count, **owner.queue_state()._asdict()}
+
     def _make_owner(self, record: OwnerRecord) -> ZoneOwner:
         context = OwnerContext(
             view=self._view,
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Container
 
 from foldloom.clock import monotonic_ms
@@ -46,11 +47,14 @@
 from foldloom.seed_discovery.owners.order_sender import OrderSender
 from foldloom.seed_discovery.owners.sessions import Sessions
 from foldloom.seed_discovery.owners.state import OwnerState
+from foldloom.seed_discovery.scheduling.run_queue import QueueState
 from foldloom.seed_discovery.scheduling.runs import HolderId
 from foldloom.tasks import TaskSet
 
 # Well below STOP_OVERDUE_MS, the shortest timeout that a tick checks.
 _TICK_S = 0.02
+# Time between two updates of the metrics on the queue.
+_QUEUE_METRICS_INTERVAL_MS = 1_000.0
 # Below the call's timeout, because an unconfirmed stop blocks the renewal of the endpoint's lease.
 _STOP_RETRANSMISSION_MS = 100.0
 # Age at which the catalog counts as complete: two heartbeat intervals of an endpoint.
@@ -96,6 +100,7 @@
             record, context, lambda: self.load, lambda: self._offers.other_owners
         )
         self._tasks = TaskSet()
+        self._queue_metrics_due_ms = 0.0
         self._is_closed = False
 
     @property
@@ -118,6 +123,10 @@
         """Load of the endpoints in use."""
         return self._state.load(monotonic_ms())
 
+    def queue_state(self) -> QueueState:
+        """Return the length and age of the zone's queue."""
+        return self._state.run_queue.state(monotonic_ms())
+
     @property
     def is_isolated(self) -> bool:
         """Whether there are other entry boxes but a session with none of them."""
@@ -236,13 +245,13 @@
         """Exclude *endpoint*, whose answer is overdue, from placement until it answers."""
         candidate = self._state.candidates.get(endpoint)
         if candidate is not None and candidate.has_current_report:
-            ENDPOINT_LOG.event("endpoint.suspected", endpoint=endpoint, call=call)
+            self._log_suspected(endpoint, call)
             self._state.exclude_from_placement(endpoint)
 
     def note_unresponsive(self, endpoint: str) -> None:
         """Exclude *endpoint*, which did not answer a check, from placement until it responds."""
         if self._state.note_unresponsive(endpoint, monotonic_ms()):
-            ENDPOINT_LOG.event("endpoint.suspected", endpoint=endpoint, call="check")
+            self._log_suspected(endpoint, "check")
 
     def note_responding(self, endpoint: str) -> None:
         """Place runs on *endpoint* again if it had not answered a check in time."""
@@ -277,6 +286,10 @@
         """Report that *endpoint* has seen a higher token."""
         self._on_fenced(endpoint)
 
+    def _log_suspected(self, endpoint: str, call: str) -> None:
+        ENDPOINT_LOG.event("endpoint.suspected", endpoint=endpoint, call=call)
+        self._metrics.count(f"endpoints.suspected.{call}")
+
     def _all_endpoints(self) -> list[EndpointRecord]:
         """Return the endpoints of all zones; none while the catalog may be incomplete."""
         if self._context.catalog_age_ms() <= _CATALOG_COMPLETE_AFTER_MS:
@@ -300,6 +313,7 @@
             for stop in self._state.stops_to_retransmit(now_ms - _STOP_RETRANSMISSION_MS, now_ms):
                 self._tasks.spawn(self._orders.stop(stop))
             self._execute_actions()
+            self._update_queue_metrics(now_ms)
             await asyncio.sleep(_TICK_S)
 
     def _adopt_bindings(self, now_ms: float) -> None:
@@ -321,7 +335,7 @@
         """Place runs and carry out the actions that the state has queued."""
         if self._is_closed:
             return
-        self._state.place(monotonic_ms())
+        self._place()
         for stop in self._state.actions.pop_stops():
             self._tasks.spawn(self._orders.stop(stop))
         for start in self._state.actions.pop_starts():
@@ -337,3 +351,19 @@
         for report in self._state.actions.pop_reports():
             self._sessions.queue_for_all(report)
         self._offers.note_changed()
+
+    def _place(self) -> None:
+        """Place queued runs, and count the processor time that it takes."""
+        began_s = time.thread_time()
+        self._state.place(monotonic_ms())
+        self._metrics.count("placement.rounds")
+        self._metrics.count("placement.processor_us", int((time.thread_time() - began_s) * 1e6))
+
+    def _update_queue_metrics(self, now_ms: float) -> None:
+        if now_ms < self._queue_metrics_due_ms:
+            return
+        self._queue_metrics_due_ms = now_ms + _QUEUE_METRICS_INTERVAL_MS
+        state = self._state.run_queue.state(now_ms)
+        self._metrics.gauge("runs.queued", state.queued_runs)
+        self._metrics.gauge("runs.queued_groups", state.queued_groups)
+        self._metrics.gauge("runs.oldest_queued_ms", state.oldest_ms)
--- a/src/foldloom/seed_discovery/scheduling/run_queue.py
+++ b/src/foldloom/seed_discovery/scheduling/run_queue.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from typing import NamedTuple
 
 from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.scheduling.estimates import Estimates
@@ -13,6 +14,20 @@
 from foldloom.seed_discovery.scheduling.runs import Run
 
 
+class QueueState(NamedTuple):
+    """Length and age of a queue.
+
+    Args:
+        queued_runs: Number of queued runs.
+        queued_groups: Number of groups with queued runs.
+        oldest_ms: Time since the arrival of the oldest job with queued runs; 0 if there is none.
+    """
+
+    queued_runs: int
+    queued_groups: int
+    oldest_ms: int
+
+
 class RunQueue:
     """The groups with any run at this owner, and their queued runs.
 
@@ -42,6 +57,12 @@
         """CPU demand of all queued runs, in thousandths of a core."""
         return sum(len(group.queued) * group.spec.demand.cpu_milli for group in self.groups)
 
+    def state(self, now_ms: float) -> QueueState:
+        """Return the length and age of the queue."""
+        groups = self.groups
+        arrived_ms = min((group.spec.arrived_ms for group in groups), default=now_ms)
+        return QueueState(self._queued_count, len(groups), int(now_ms - arrived_ms))
+
     def get(self, key: GroupId) -> RunGroup | None:
         """Return the group *key*, or ``None`` if it has no runs here."""
         return self._groups.get(key)
