Do the same work for an event whatever the length of the queue

Cause: each message, report and reply placed anew, which ranked and sorted all queued groups and tried all endpoints even when none had capacity; ticks, loads and offers walked the whole queue too. A short peak left a queue, the queue made each event dearer, and the owner fell further behind: a metastable failure.

--- a/src/foldloom/seed_discovery/owners/admission.py
+++ b/src/foldloom/seed_discovery/owners/admission.py
@@ -88,7 +88,7 @@
     def _expected_wait_ms(self, group: RunGroup, now_ms: float) -> float:
         return expected_wait_ms(
             group,
-            self._run_queue.groups,
+            lambda last: self._run_queue.groups_up_to(last, now_ms),
             self._stealing.remote.stealable(now_ms),
             self._available_capacity(now_ms),
             now_ms,
--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -30,6 +30,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 
 from foldloom.seed_discovery.jobs.spec import TaskId
@@ -42,7 +43,7 @@
 from foldloom.seed_discovery.scheduling.crashes import exceeds_crash_limit
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.estimates import Estimates
-from foldloom.seed_discovery.scheduling.remote_groups import group_of
+from foldloom.seed_discovery.scheduling.remote_groups import GroupId, group_of
 from foldloom.seed_discovery.scheduling.run_queue import RunQueue
 from foldloom.seed_discovery.scheduling.runs import HolderId, Run, RunState
 from foldloom.seed_discovery.scheduling.speeds import EndpointSpeeds
@@ -66,6 +67,8 @@
         self._runs: dict[TaskId, Run] = {}
         # Dicts serve as ordered sets, so that the order of actions is deterministic.
         self._tasks_by_job: dict[str, dict[TaskId, None]] = {}
+        self._runs_by_state: dict[RunState, dict[TaskId, Run]] = {state: {} for state in RunState}
+        self._runs_per_group: Counter[GroupId] = Counter()
         self._estimates = Estimates()
         self.run_queue = RunQueue(self._estimates)
         self.speeds = EndpointSpeeds()
@@ -88,25 +91,31 @@
         return [self._runs[task] for task in self._tasks_by_job.get(job_id, ())]
 
     def in_state(self, state: RunState) -> list[Run]:
-        """Return the runs in *state*."""
-        return [run for run in self._runs.values() if run.state is state]
+        """Return the runs in *state*, in the order of entering it."""
+        return list(self._runs_by_state[state].values())
 
     def add(self, run: Run) -> None:
         """Add a delivered run that is queued or recovering."""
         self._runs[run.task] = run
         self._tasks_by_job.setdefault(run.task.job_id, {})[run.task] = None
+        self._runs_by_state[run.state][run.task] = run
+        self._runs_per_group[group_of(run.task)] += 1
 
     def queue(self, run: Run, now_ms: float) -> None:
         """Queue *run*, which must not be on any endpoint."""
-        run.enter(RunState.QUEUED, now_ms)
+        self._enter(run, RunState.QUEUED, now_ms)
         self.run_queue.add(run)
 
     def start(self, run: Run, endpoint: str, now_ms: float) -> None:
         """Order *run* to start on *endpoint*, where its capacity is already allocated."""
         self.started.note(run.task.job_id, run.spec.deadline_ms)
-        run.enter(RunState.STARTING, now_ms, endpoint)
+        self._enter(run, RunState.STARTING, now_ms, endpoint)
         self._actions.start(StartAction(run.run_id, endpoint, run.spec.task_input))
 
+    def confirm_start(self, run: Run, now_ms: float) -> None:
+        """Mark *run* as running: its endpoint has accepted the start."""
+        self._enter(run, RunState.RUNNING, now_ms, run.endpoint)
+
     def adopt(self, run: Run, attempt: int, endpoint: str, now_ms: float) -> None:
         """Mark *run* as running: *endpoint* lists *attempt* of it."""
         self.started.note(run.task.job_id, run.spec.deadline_ms)
@@ -116,11 +125,11 @@
         # Releases a stale allocation, so that the task's capacity is not allocated twice.
         resources.release(run.task)
         resources.allocate(run.task, run.spec.demand)
-        run.enter(RunState.RUNNING, now_ms, endpoint)
+        self._enter(run, RunState.RUNNING, now_ms, endpoint)
 
     def stop(self, run: Run, now_ms: float) -> None:
         """Order *run* to stop on its endpoint."""
-        run.enter(RunState.STOPPING, now_ms, run.endpoint)
+        self._enter(run, RunState.STOPPING, now_ms, run.endpoint)
         run.stop_sent_ms = now_ms
         self._actions.stop(StopAction(run.run_id, run.endpoint))
 
@@ -200,16 +209,23 @@
         if candidate is not None:
             candidate.resources.release(run.task)
 
+    def _enter(self, run: Run, state: RunState, now_ms: float, endpoint: str = "") -> None:
+        self._runs_by_state[run.state].pop(run.task, None)
+        self._runs_by_state[state][run.task] = run
+        run.enter(state, now_ms, endpoint)
+
     def _drop(self, run: Run) -> None:
         self.run_queue.remove(run.task)
-        self._runs.pop(run.task, None)
-        tasks = self._tasks_by_job.get(run.task.job_id)
-        if tasks is None:
+        if self._runs.pop(run.task, None) is None:
             return
-        tasks.pop(run.task, None)
+        del self._runs_by_state[run.state][run.task]
         key = group_of(run.task)
-        if not any(group_of(task) == key for task in tasks):
+        self._runs_per_group[key] -= 1
+        if not self._runs_per_group[key]:
+            del self._runs_per_group[key]
             self.run_queue.remove_group(key)
+        tasks = self._tasks_by_job[run.task.job_id]
+        del tasks[run.task]
         if not tasks:
             del self._tasks_by_job[run.task.job_id]
 
@@ -218,5 +234,5 @@
         group = self.run_queue.group(run)
         self.speeds.record(run.endpoint, ran_ms, group.expected_ms)
         work_ms = ran_ms * self.speeds.speed_of(run.endpoint)
-        group.note_done(work_ms)
+        self.run_queue.note_done(run, work_ms)
         self._estimates.record(run.spec.queue, run.spec.estimate_ms, work_ms)
--- a/src/foldloom/seed_discovery/owners/orders.py
+++ b/src/foldloom/seed_discovery/owners/orders.py
@@ -36,7 +36,7 @@
         return
     if outcome is CallOutcome.DONE:
         if run.state is RunState.STARTING:
-            run.enter(RunState.RUNNING, now_ms, endpoint)
+            lifecycle.confirm_start(run, now_ms)
         return
     if outcome in (CallOutcome.UNKNOWN, CallOutcome.DISCONNECTED):
         # The start may take effect until the lease in the order expires. The stop prevents that,
--- a/src/foldloom/seed_discovery/owners/recovery.py
+++ b/src/foldloom/seed_discovery/owners/recovery.py
@@ -60,11 +60,14 @@
         is_catalog_complete: Whether these include every endpoint that the earlier owner used.
         now_ms: Own monotonic clock.
     """
-    for run in lifecycle.in_state(RunState.RECOVERING):
-        polled_ms = [
-            last_polled_ms.get(endpoint, 0.0)
-            for endpoint, candidate in candidates.items()
-            if candidate.record.service == run.spec.service
-        ]
+    recovering = lifecycle.in_state(RunState.RECOVERING)
+    if not recovering:
+        return
+    polled_ms_by_service: dict[str, list[float]] = {}
+    for endpoint, candidate in candidates.items():
+        polled_ms = polled_ms_by_service.setdefault(candidate.record.service, [])
+        polled_ms.append(last_polled_ms.get(endpoint, 0.0))
+    for run in recovering:
+        polled_ms = polled_ms_by_service.get(run.spec.service, [])
         if is_lost(run, polled_ms, is_catalog_complete, now_ms):
             lifecycle.finish(run, EndCause.LOST, "", now_ms)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -44,7 +44,7 @@
 from foldloom.seed_discovery.scheduling.runs import HolderId, Run, RunState
 
 # Groups of queued runs that one offer to other zones lists, the next in order first.
-OFFERED_GROUPS_MAX = 24
+OFFERED_GROUPS_MAX = 8
 
 
 class OwnerState:
--- a/src/foldloom/seed_discovery/scheduling/admission.py
+++ b/src/foldloom/seed_discovery/scheduling/admission.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.jobs.spec import Demand
 from foldloom.seed_discovery.scheduling.endpoint_capacity import fits
 from foldloom.seed_discovery.scheduling.groups import RunGroup
-from foldloom.seed_discovery.scheduling.ranking import rank
+from foldloom.seed_discovery.scheduling.ranking import Rank, rank
 from foldloom.seed_discovery.scheduling.remote_groups import RemoteGroup
 
 # Share of total CPU that placements can fill; the rest is lost to fragmentation. Two tasks of 6.8
@@ -45,12 +45,20 @@
 
 def expected_wait_ms(
     group: RunGroup,
-    own_groups: Iterable[RunGroup],
+    groups_up_to: Callable[[Rank], Iterable[RunGroup]],
     remote_groups: Iterable[RemoteGroup],
     available: AvailableCapacity,
     now_ms: float,
 ) -> float:
-    """Return the expected queueing time of the last task of *group*."""
+    """Return the expected queueing time of the last task of *group*.
+
+    Args:
+        group: The group.
+        groups_up_to: Returns the zone's queued groups with a rank or a lower one.
+        remote_groups: The groups offered by other zones.
+        available: The capacity for them.
+        now_ms: Own monotonic clock.
+    """
     demanded_milli = len(group.queued) * group.spec.demand.cpu_milli
     if demanded_milli <= available.free_milli:
         return 0.0
@@ -58,13 +66,18 @@
         # All endpoints are overdue at once, most likely because this owner was delayed. Waiting for
         # their next report costs less than a rejection.
         return 0.0
+    usable_cores = available.total_milli / 1_000 * _USABLE_CPU_SHARE
+    if not usable_cores:
+        return float(_RETRY_MAX_MS)
     group_rank = rank(group, now_ms)
-    ahead_cpu_ms = sum(
-        other.queued_cpu_ms for other in own_groups if rank(other, now_ms) <= group_rank
+    ahead_cpu_ms: float = sum(
+        other.summary.cpu_ms for other in remote_groups if other.rank < group_rank
     )
-    ahead_cpu_ms += sum(other.summary.cpu_ms for other in remote_groups if other.rank < group_rank)
-    usable_cores = available.total_milli / 1_000 * _USABLE_CPU_SHARE
-    return ahead_cpu_ms / usable_cores if usable_cores else float(_RETRY_MAX_MS)
+    for other in groups_up_to(group_rank):
+        if ahead_cpu_ms > _RETRY_MAX_MS * usable_cores:
+            break
+        ahead_cpu_ms += other.queued_cpu_ms
+    return ahead_cpu_ms / usable_cores
 
 
 def misses_objective(group: RunGroup, wait_ms: float, now_ms: float) -> bool:
--- a/src/foldloom/seed_discovery/scheduling/groups.py
+++ b/src/foldloom/seed_discovery/scheduling/groups.py
@@ -33,23 +33,21 @@
         self.spec = spec
         self.started = 0
         self.queued: dict[TaskId, Run] = {}
-        self._expected_ms = expected_ms
+        self._initial_log_ms = math.log(expected_ms)
+        self._longest_to_expected = 1 + _SKEW_PER_DOUBLING * math.log2(max(1, spec.tasks))
         self._finished_log_sum = 0.0
         self._finished_count = 0
+        self._update_deadlines(expected_ms)
 
     @property
     def expected_ms(self) -> float:
         """Estimated duration of a task, refined by finished tasks of the step."""
-        if not self._finished_count:
-            return self._expected_ms
-        step_log_mean = self._finished_log_sum / self._finished_count
-        queue_weight = 1 - _STEP_WEIGHT
-        return math.exp(_STEP_WEIGHT * step_log_mean + queue_weight * math.log(self._expected_ms))
+        return self._expected_ms
 
     @property
     def longest_ms(self) -> float:
         """Estimated duration of the step's longest task."""
-        return self.expected_ms * (1 + _SKEW_PER_DOUBLING * math.log2(max(1, self.spec.tasks)))
+        return self._longest_ms
 
     @property
     def longest_plausible_ms(self) -> float:
@@ -62,7 +60,7 @@
     @property
     def objective_ms(self) -> float:
         """The job's latency objective, from its arrival."""
-        return self._objective_ms(self.longest_ms)
+        return self._objective_ms(self._longest_ms)
 
     def _objective_ms(self, longest_ms: float) -> float:
         critical_path_ms = self.spec.other_steps_ms + longest_ms
@@ -71,7 +69,7 @@
     @property
     def on_time_deadline_ms(self) -> float:
         """When the job must end to meet its objective."""
-        return self.spec.arrived_ms + self.objective_ms
+        return self._on_time_deadline_ms
 
     @property
     def useful_until_ms(self) -> float:
@@ -79,9 +77,7 @@
 
         Uses the caller's estimate if it is larger, since a job that is cancelled too early is lost.
         """
-        objective_ms = max(self.objective_ms, self._objective_ms(self.spec.estimate_ms))
-        latest_ms = self.spec.arrived_ms + USEFUL_UNTIL_FACTOR * objective_ms
-        return min(latest_ms, self.spec.deadline_ms)
+        return self._useful_until_ms
 
     @property
     def queued_cpu_ms(self) -> float:
@@ -96,18 +92,32 @@
             now_ms: The current time.
         """
         left_ms = tier_deadline_ms - _RESPONSE_LATENCY_MS - now_ms
-        return self.longest_ms / left_ms if left_ms > 0 else math.inf
+        return self._longest_ms / left_ms if left_ms > 0 else math.inf
 
     def on_time_start_deadline_ms(self, speed: float = 1.0) -> float:
         """Return the latest start on an endpoint of *speed* that meets the objective."""
-        return self.on_time_deadline_ms - _RESPONSE_LATENCY_MS - self.longest_ms / speed
+        return self._on_time_deadline_ms - _RESPONSE_LATENCY_MS - self._longest_ms / speed
 
     def late_start_deadline_ms(self, speed: float = 1.0) -> float:
         """Return the latest start on an endpoint of *speed* for a result that is still of use."""
-        return self.useful_until_ms - _RESPONSE_LATENCY_MS - self.longest_ms / speed
+        return self._useful_until_ms - _RESPONSE_LATENCY_MS - self._longest_ms / speed
 
     def note_done(self, work_ms: float) -> None:
         """Record the duration of a finished task, in milliseconds on an endpoint of speed 1."""
-        if work_ms > 0:
-            self._finished_log_sum += math.log(work_ms)
-            self._finished_count += 1
+        if work_ms <= 0:
+            return
+        self._finished_log_sum += math.log(work_ms)
+        self._finished_count += 1
+        step_log_mean = self._finished_log_sum / self._finished_count
+        queue_weight = 1 - _STEP_WEIGHT
+        self._update_deadlines(
+            math.exp(_STEP_WEIGHT * step_log_mean + queue_weight * self._initial_log_ms)
+        )
+
+    def _update_deadlines(self, expected_ms: float) -> None:
+        self._expected_ms = expected_ms
+        self._longest_ms = expected_ms * self._longest_to_expected
+        self._on_time_deadline_ms = self.spec.arrived_ms + self.objective_ms
+        objective_ms = max(self.objective_ms, self._objective_ms(self.spec.estimate_ms))
+        latest_ms = self.spec.arrived_ms + USEFUL_UNTIL_FACTOR * objective_ms
+        self._useful_until_ms = min(latest_ms, self.spec.deadline_ms)
--- a/tests/test_owners_queue_cost.py
+++ b/tests/test_owners_queue_cost.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 from collections.abc import Callable
 from types import FrameType
@@ -46,11 +47,14 @@
         return trace
 
     earlier = sys.gettrace()
+    # Callbacks of a collection would be counted too.
+    gc.disable()
     sys.settrace(trace)
     try:
         call()
     finally:
         sys.settrace(earlier)
+        gc.enable()
     return count
 
 
