Compare the demand of more groups with the free capacity in a round

Demands often differ from job to job, so that each group has requirements of its own, and only the ten groups with the best rank could fill what a task leaves free. Now the CPU demand of the first 64 is compared with the free capacity, ten of those that fit are looked at, and a round ends at once if no demand fits at all.

--- a/src/foldloom/seed_discovery/scheduling/placing.py
+++ b/src/foldloom/seed_discovery/scheduling/placing.py
@@ -29,7 +29,9 @@
 from foldloom.seed_discovery.scheduling.serving_order import RankedGroup
 from foldloom.seed_discovery.scheduling.speeds import EndpointSpeeds
 
-# Combinations of requirements considered in one round, those with the best group first.
+# Combinations of requirements whose CPU demand is compared with the free capacity in one round,
+# those with the best group first, and combinations for which endpoints are then looked up.
+_REQUIREMENTS_COMPARED_MAX = 64
 _REQUIREMENTS_MAX = 10
 # Groups of one combination of requirements that may stay queued in one round although an endpoint
 # has capacity: it may be too slow for them, or not the one that their tasks are bound to.
@@ -231,8 +233,12 @@
 ) -> list[_Turn]:
     """Return the first group of each combination of requirements that an endpoint can meet."""
     order = run_queue.order(now_ms)
-    turns = []
-    for head in order.heads(_REQUIREMENTS_MAX):
+    turns: list[_Turn] = []
+    if order.smallest_cpu_milli > max(free_cpu_milli.values(), default=-1):
+        return turns
+    for head in order.heads(_REQUIREMENTS_COMPARED_MAX):
+        if len(turns) == _REQUIREMENTS_MAX:
+            break
         spec = head.group.spec
         cpu_milli = spec.demand.cpu_milli
         if cpu_milli > free_cpu_milli.get(spec.service, -1):
--- a/src/foldloom/seed_discovery/scheduling/serving_order.py
+++ b/src/foldloom/seed_discovery/scheduling/serving_order.py
@@ -75,6 +75,8 @@
         self._all: list[RankedGroup] = []
         self._by_requirements: dict[GroupRequirements, list[RankedGroup]] = {}
         self._heads: list[RankedGroup] = []
+        # CPU demand of each combination of requirements, sorted.
+        self._cpu_demands_milli: list[int] = []
 
     def __len__(self) -> int:
         return len(self._ranked) + len(self._unranked)
@@ -88,6 +90,11 @@
         """The groups, in no particular order."""
         return [*self._ranked, *self._unranked]
 
+    @property
+    def smallest_cpu_milli(self) -> float:
+        """The smallest CPU demand of any task, in thousandths of a core; infinite if none."""
+        return self._cpu_demands_milli[0] if self._cpu_demands_milli else math.inf
+
     def add(self, group: RunGroup) -> None:
         """Add a group; it is ranked by the next update."""
         self._unranked[group] = None
@@ -139,6 +146,8 @@
         insort(self._all, ranked)
         similar = self._by_requirements.setdefault(requirements_of(ranked.group), [])
         former_head = similar[0] if similar else None
+        if not similar:
+            insort(self._cpu_demands_milli, ranked.group.spec.demand.cpu_milli)
         insort(similar, ranked)
         self._update_head(former_head, similar)
         if ranked.rank.tier != Tier.UNATTAINABLE:
@@ -157,6 +166,8 @@
         self._update_head(former_head, similar)
         if not similar:
             del self._by_requirements[requirements]
+            demands = self._cpu_demands_milli
+            del demands[bisect_left(demands, requirements.demand.cpu_milli)]
 
     def _update_head(self, former: RankedGroup | None, similar: list[RankedGroup]) -> None:
         head = similar[0] if similar else None
