Keep silence out of the estimates of endpoint speeds, and let estimates age

What callers saw: an endpoint that had been silent for 0.6 s or more while it ran tasks got no task for the rest of its owner's term, although it was sound: the zone lost its capacity.

Cause: the age of an unfinished run lowered the speed of its endpoint also while the endpoint was not heard, and only ended runs, one tenth each, raised it again; an endpoint below the minimum speed of all jobs gets no runs.

Change: an unfinished run counts as long as it was certainly active, until the poll whose report lists it. An ended run counts only if its endpoint was heard all the time since its start. An estimate without a run for 1 s comes half the way to the median every 1.5 s, so that an endpoint that was slow is tried again.

--- a/src/foldloom/seed_discovery/owners/lifecycle.py
+++ b/src/foldloom/seed_discovery/owners/lifecycle.py
@@ -169,7 +169,7 @@
         ran_ms = int(now_ms - run.began_ms) if run.began_ms else 0
         was_stopping = run.state is RunState.STOPPING
         is_bound = run.task in self.unanswered_starts.bound_endpoints
-        if cause is EndCause.DONE and not was_stopping and ran_ms:
+        if cause is EndCause.DONE and not was_stopping and ran_ms and self._was_heard(run):
             self._update_estimates(run, ran_ms)
         self.release_capacity(run)
         crashes = self.crashes.count_of(run.task)
@@ -229,6 +229,14 @@
         if not tasks:
             del self._tasks_by_job[run.task.job_id]
 
+    def _was_heard(self, run: Run) -> bool:
+        """Return whether the endpoint of *run* was heard all the time since its start.
+
+        Otherwise the run may have ended long before its end was reported.
+        """
+        candidate = self._candidates.get(run.endpoint)
+        return candidate is not None and run.began_ms >= candidate.heard_since_ms
+
     def _update_estimates(self, run: Run, ran_ms: float) -> None:
         """Update the endpoint's speed and the duration estimates of the group and the queue."""
         group = self.run_queue.group(run)
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -293,6 +293,7 @@
             return
         for end in report.ended:
             self._unanswered_starts.discard(end.run_id, report.endpoint)
+        candidate.note_heard(report.polled_ms, now_ms)
         reconcile(self._lifecycle, candidate, report, now_ms)
         for active in report.active:
             if self._is_running(active.run_id, report.endpoint):
@@ -344,7 +345,8 @@
         for endpoint, run_id in orphans_to_stop(self._candidates, now_ms):
             self.actions.stop(StopAction(run_id, endpoint))
         retire_unattainable(self._lifecycle, now_ms)
-        handle_stragglers(self._lifecycle, now_ms)
+        handle_stragglers(self._lifecycle, self._last_polled_ms, now_ms)
+        self._lifecycle.speeds.age(now_ms)
         for candidate in self._candidates.values():
             candidate.resources.expire_reservations(now_ms)
         self._deliveries.expire_cancels(now_ms)
--- a/src/foldloom/seed_discovery/owners/stragglers.py
+++ b/src/foldloom/seed_discovery/owners/stragglers.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.scheduling.runs import RunState
 
@@ -35,10 +37,19 @@
     return ran_ms > max(run_time_limit_ms, STUCK_RETRY_FACTOR * stuck_attempt_ms)
 
 
-def handle_stragglers(lifecycle: RunLifecycle, now_ms: float) -> None:
+def handle_stragglers(
+    lifecycle: RunLifecycle, last_polled_ms: Mapping[str, float], now_ms: float
+) -> None:
     """Update endpoint speeds from overdue runs and stop stuck runs.
 
-    Runs are not stopped once the job's late start deadline has passed.
+    A run has certainly lasted until the poll whose report lists it. How long it lasts while the
+    endpoint is not heard says nothing about the endpoint's speed. Runs are not stopped once the
+    job's late start deadline has passed.
+
+    Args:
+        lifecycle: The runs.
+        last_polled_ms: When each endpoint was polled for its latest report.
+        now_ms: Own monotonic clock.
     """
     for run in lifecycle.in_state(RunState.RUNNING):
         if not run.began_ms:
@@ -47,7 +58,9 @@
         ran_ms = now_ms - run.began_ms
         if not is_overdue(ran_ms, group.expected_ms):
             continue
-        lifecycle.speeds.note_overdue(run.endpoint, ran_ms, group.expected_ms)
+        listed_ms = last_polled_ms.get(run.endpoint, 0.0) - run.began_ms
+        if is_overdue(listed_ms, group.expected_ms):
+            lifecycle.speeds.note_overdue(run.endpoint, listed_ms, group.expected_ms)
         if now_ms >= group.late_start_deadline_ms():
             continue
         if is_stuck(ran_ms, group.longest_plausible_ms, run.stuck_attempt_ms):
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -9,6 +9,10 @@
 from foldloom.seed_discovery.jobs.spec import Demand, TaskId
 from foldloom.seed_discovery.scheduling.endpoint_capacity import EndpointCapacity, fits
 
+# Time between the polls of two reports above which the endpoint was silent in between: twice the
+# wait of a poll.
+_POLL_INTERVAL_MAX_MS = 400.0
+
 
 class OrphanedRun(NamedTuple):
     """A run that an endpoint lists and that is not the owner's current run of its task.
@@ -26,6 +30,7 @@
     """An endpoint as a candidate for placement.
 
     ``unresponsive_at_ms`` is when it did not respond to a check before a start; 0 if it has since.
+    ``heard_since_ms`` is since when it has reported without a silence.
     ``has_crashed`` is set once the present incarnation is known to have ended; ``lapsed_tasks``
     are the tasks whose leases expired before such a crash was confirmed.
 
@@ -40,6 +45,8 @@
         self.is_silent = False
         self.backoff_until_ms = 0.0
         self.unresponsive_at_ms = 0.0
+        self.heard_since_ms = 0.0
+        self._polled_ms = 0.0
         self.orphans: dict[TaskId, OrphanedRun] = {}
         self.has_crashed = False
         self.lapsed_tasks: list[TaskId] = []
@@ -104,6 +111,12 @@
         if polled_ms >= self.unresponsive_at_ms:
             self.unresponsive_at_ms = 0.0
 
+    def note_heard(self, polled_ms: float, now_ms: float) -> None:
+        """Record a report, received at *now_ms*, to a poll that was sent at *polled_ms*."""
+        if polled_ms - self._polled_ms > _POLL_INTERVAL_MAX_MS:
+            self.heard_since_ms = now_ms
+        self._polled_ms = max(self._polled_ms, polled_ms)
+
     def is_eligible(self, now_ms: float) -> bool:
         """Return whether runs may be placed on it now.
 
