Call endpoints with a small HTTP client in place of aiohttp's

What callers saw: an owner at its limit of processor time answers all its callers late, and a task costs it two or more calls to endpoints.

A call is sent once. Its outcomes are as before: an end of the connection before the response is DISCONNECTED, a refused connection NO_LISTENER, and all else that gives no whole response UNKNOWN, so that no task is free to run elsewhere. Pools are discarded after a timeout as before.

The tests of outcomes named aiohttp's exceptions, which are no longer raised; they name those of the new client, one more of each kind.

--- a/src/foldloom/exceptions.py
+++ b/src/foldloom/exceptions.py
@@ -28,6 +28,14 @@
     """A peer did not reply within the timeout, or can't be reached."""
 
 
+class ConnectFailedError(OSError, FoldloomError):
+    """A connection could not be opened; ``errno`` tells why."""
+
+
+class MalformedResponseError(FoldloomError):
+    """An HTTP response was not valid, or incomplete."""
+
+
 class DataLossError(FoldloomError):
     """The data folder is empty or corrupted, so this controller must not vote."""
 
