Send fewer offers, placements and deliveries for the same runs

What callers saw: as before, late answers at an owner at its limit.

Change: offers follow each other after 10 ms in place of 3 (the first after a pause is sent at once). No placement after an accepted start, nor after runs were given away: neither frees capacity. Runs of one job that move to the same zone at the same time are delivered in one message; run.moved names their tasks. An endpoint whose free CPU is too small is left out before the other requirements are compared.

The log line of a late box gives the longest standing delay of its second; before, it was written only if the loop was late at the moment of the line.

--- a/src/foldloom/loop_delay.py
+++ b/src/foldloom/loop_delay.py
@@ -45,6 +45,7 @@
         self._metrics = metrics
         self._details = details
         self._delays_ms: deque[float] = deque([0.0], maxlen=_STANDING_SAMPLES)
+        self._longest_ms = 0.0
         self._logged_ms = monotonic_ms()
         self._logged_processor_s = time.process_time()
 
@@ -62,8 +63,9 @@
             self.note(max(0.0, now_ms - began_ms - _SAMPLE_INTERVAL_MS), now_ms)
 
     def note(self, delay_ms: float, now_ms: float) -> None:
-        """Record a sample of the delay, and log the standing delay if it is long."""
+        """Record a sample of the delay, and log the longest standing delay since the last line."""
         self._delays_ms.append(delay_ms)
+        self._longest_ms = max(self._longest_ms, self.standing_ms)
         self._metrics.timing("loop_delay_ms", delay_ms)
         elapsed_ms = now_ms - self._logged_ms
         if elapsed_ms < _LOG_INTERVAL_MS:
@@ -72,10 +74,11 @@
         used_ms = (processor_s - self._logged_processor_s) * 1_000
         self._logged_ms, self._logged_processor_s = now_ms, processor_s
         self._metrics.gauge("processor_permille", 1_000 * used_ms / elapsed_ms)
-        if self.standing_ms >= _LOGGED_DELAY_MS:
+        longest_ms, self._longest_ms = self._longest_ms, 0.0
+        if longest_ms >= _LOGGED_DELAY_MS:
             PROCESS_LOG.event(
                 "process.behind",
-                delay_ms=int(self.standing_ms),
+                delay_ms=int(longest_ms),
                 processor_ms=int(used_ms),
                 elapsed_ms=int(elapsed_ms),
                 **self._details(),
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import secrets
+from typing import NamedTuple
 
 from foldloom.clock import monotonic_ms
 from foldloom.logs import PLACE_LOG
@@ -53,6 +54,20 @@
 _OWNER_CHECK_S = 0.01
 
 
+class _MovedTo(NamedTuple):
+    """Where runs of a batch are delivered next.
+
+    Args:
+        batch: Their batch.
+        zone: The zone.
+        is_bound: Whether no other zone may run them, even if this one has no owner.
+    """
+
+    batch: Batch
+    zone: str
+    is_bound: bool
+
+
 class OwnerClient:
     """Client for the owners of all zones; prefers the owner of the own zone.
 
@@ -252,18 +267,31 @@
         for start in message.owner_starts:
             if connection is not None:
                 connection.note_owner_start(start, message.token)
+        moved: dict[_MovedTo, list[RunOrder]] = {}
         for end in message.ends:
             if connection is not None:
-                self._handle_end(connection, end, message.token or connection.owner.token)
+                token = message.token or connection.owner.token
+                self._handle_end(connection, end, token, moved)
+        for target, orders in moved.items():
+            self._tasks.spawn(self._redeliver_moved(target, orders))
         return EndsNoted()
 
-    def _handle_end(self, connection: OwnerConnection, end: RunEnd, token: int) -> None:
+    def _handle_end(
+        self,
+        connection: OwnerConnection,
+        end: RunEnd,
+        token: int,
+        moved: dict[_MovedTo, list[RunOrder]],
+    ) -> None:
+        """Pass an end to its job, or add its order to *moved* if another zone takes the run."""
         for batch in connection.batches_by_id(end.run_id.task.job_id):
             order = batch.close(end, token)
             if order is None:
                 continue
             if end.cause is EndCause.MOVED:
-                self._tasks.spawn(self._redeliver_moved(batch, order, end.moved_to))
+                bound_zone = self._histories.bound_zone(batch.task(order), monotonic_ms())
+                target = _MovedTo(batch, bound_zone or end.moved_to, bool(bound_zone))
+                moved.setdefault(target, []).append(order)
             else:
                 batch.job.ends.put_nowait(end)
             return
@@ -277,22 +305,22 @@
             delivery=end.delivery,
         )
 
-    async def _redeliver_moved(self, batch: Batch, order: RunOrder, zone: str) -> None:
-        """Deliver a run that was moved to the owner of another zone."""
-        moved = order._replace(is_moved=True, is_resumed=False)
-        bound_zone = self._histories.bound_zone(batch.task(order), monotonic_ms())
-        connection = self._select_connection(bound_zone or zone)
+    async def _redeliver_moved(self, target: _MovedTo, orders: list[RunOrder]) -> None:
+        """Deliver runs that were moved to the owner of another zone."""
+        batch = target.batch
+        connection = self._select_connection(target.zone)
         while connection is None and batch.job.is_active:
-            connection = self._select_connection(bound_zone)
+            connection = self._select_connection(target.zone if target.is_bound else None)
             await asyncio.sleep(_OWNER_CHECK_S)
         if connection is None or not batch.job.is_active:
             return
         PLACE_LOG.event(
             "run.moved",
             job=batch.job.job_id,
-            task=order.position,
-            run=order.attempt,
+            tasks=", ".join(str(order.position) for order in orders),
+            runs=len(orders),
             zone=connection.zone,
         )
-        target = self._find_or_create_batch(connection, batch.job, batch.template)
-        await connection.submit(target, [moved])
+        moved = [order._replace(is_moved=True, is_resumed=False) for order in orders]
+        in_zone = self._find_or_create_batch(connection, batch.job, batch.template)
+        await connection.submit(in_zone, moved)
--- a/src/foldloom/seed_discovery/owners/offers.py
+++ b/src/foldloom/seed_discovery/owners/offers.py
@@ -17,8 +17,8 @@
 _STEAL_TIMEOUT_MS = 30
 # A third of REMOTE_VIEW_TTL_MS, for which the receiver acts on an offer.
 _OFFER_TTL_MS = 100
-# Bounds the message rate between zones.
-_OFFER_INTERVAL_MIN_S = 0.003
+# Bounds the message rate between zones; well below the time that jobs can wait and be in time.
+_OFFER_INTERVAL_MIN_S = 0.01
 
 
 class OfferSender:
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -86,13 +86,13 @@
         # The candidates are sorted by rank.
         self._successor = next((holder for holder in candidates if holder is not None), None)
 
-    def begin_start(self, action: StartAction, on_answer: Callable[[], None]) -> None:
-        """Send a start order in the background; call *on_answer* after its reply is handled.
+    def begin_start(self, action: StartAction, on_failure: Callable[[], None]) -> None:
+        """Send a start order in the background.
 
-        It is also called if the endpoint does not respond, and otherwise not if the order is not
-        sent.
+        Call *on_failure* after the run has not started: its endpoint does not respond, or has not
+        accepted the order. It is not called if the order is not sent for another reason.
         """
-        task = asyncio.get_running_loop().create_task(self._start(action, on_answer))
+        task = asyncio.get_running_loop().create_task(self._start(action, on_failure))
         self._starts[task] = action.endpoint
         task.add_done_callback(self._starts.pop)
 
@@ -108,7 +108,7 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    async def _start(self, action: StartAction, on_answer: Callable[[], None]) -> None:
+    async def _start(self, action: StartAction, on_failure: Callable[[], None]) -> None:
         link = self._links.get(action.endpoint)
         if link is not None and not await link.is_responding():
             outcome = CallOutcome.NOT_SENT
@@ -116,7 +116,7 @@
             self._state.handle_start_outcome(
                 action.run_id, action.endpoint, outcome, monotonic_ms()
             )
-            on_answer()
+            on_failure()
             return
         now_ms = monotonic_ms()
         may_start = link is self._links.get(action.endpoint) and self._may_start(action, now_ms)
@@ -152,7 +152,8 @@
         if reply.outcome is CallOutcome.FENCED:
             self._owner.note_fenced(action.endpoint)
         self._state.handle_start_outcome(action.run_id, action.endpoint, reply.outcome, now_ms)
-        on_answer()
+        if reply.outcome is not CallOutcome.DONE:
+            on_failure()
 
     async def stop(self, action: StopAction) -> None:
         """Send a stop order and apply its outcome."""
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -207,7 +207,7 @@
         given = self._state.release_to_zone(
             message.group, message.runs, message.zone, monotonic_ms()
         )
-        self._execute_actions()
+        self._carry_out_actions()
         return StealReply(given)
 
     def handle_heartbeat_ack(self, sender: str, ack: HeartbeatAck) -> None:
@@ -336,6 +336,10 @@
         if self._is_closed:
             return
         self._place()
+        self._carry_out_actions()
+
+    def _carry_out_actions(self) -> None:
+        """Carry out the actions that the state has queued."""
         for stop in self._state.actions.pop_stops():
             self._tasks.spawn(self._orders.stop(stop))
         for start in self._state.actions.pop_starts():
--- a/src/foldloom/seed_discovery/scheduling/placing.py
+++ b/src/foldloom/seed_discovery/scheduling/placing.py
@@ -351,10 +351,12 @@
 
     An isolated task prefers an idle endpoint; others prefer one without isolated tasks.
     """
+    cpu_milli = requirements.demand.cpu_milli
     suitable = [
         candidate
         for candidate in endpoints
-        if _meets_requirements(requirements, candidate, context)
+        if candidate.resources.free.cpu_milli >= cpu_milli
+        and _meets_requirements(requirements, candidate, context)
         and _has_place_in_group(requirements, group, candidate)
     ]
     if not suitable:
