Reject a share of new jobs while the owner's box is late

What callers saw: jobs that waited for the box itself, not for an endpoint, until their deadline, and were then answered 504; the work done for them was lost.

Cause: admission knew the queue for endpoints only. Jobs arrived at a late box as fast as at one on time, were read late, and most of the work went into jobs whose callers were about to leave.

Deliveries of jobs under way, retries, moved runs and jobs that the owner knows are never rejected. The rejection goes the way of other rejections: the entry box asks whether any run may have started before it says that nothing ran.

Rejecting at the entry box without asking was ruled out: a job submitted again under its id may have run, and the answer would have been false.

--- a/src/foldloom/loop_delay.py
+++ b/src/foldloom/loop_delay.py
@@ -31,19 +31,29 @@
     return {}
 
 
+def ignore_delay(_standing_ms: float, _now_ms: float) -> None:
+    """Ignore a sample of the delay."""
+
+
 class LoopDelay:
     """The delay of the running event loop.
 
     Args:
         metrics: This box's metrics.
         details: Returns further fields for the log line, such as the length of the box's queue.
+        on_sample: Called after each sample with the standing delay and the present time, both in
+            milliseconds.
     """
 
     def __init__(
-        self, metrics: Metrics, details: Callable[[], Mapping[str, object]] = no_details
+        self,
+        metrics: Metrics,
+        details: Callable[[], Mapping[str, object]] = no_details,
+        on_sample: Callable[[float, float], None] = ignore_delay,
     ) -> None:
         self._metrics = metrics
         self._details = details
+        self._on_sample = on_sample
         self._delays_ms: deque[float] = deque([0.0], maxlen=_STANDING_SAMPLES)
         self._longest_ms = 0.0
         self._logged_ms = monotonic_ms()
@@ -67,6 +77,7 @@
         self._delays_ms.append(delay_ms)
         self._longest_ms = max(self._longest_ms, self.standing_ms)
         self._metrics.timing("loop_delay_ms", delay_ms)
+        self._on_sample(self.standing_ms, now_ms)
         elapsed_ms = now_ms - self._logged_ms
         if elapsed_ms < _LOG_INTERVAL_MS:
             return
--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -34,6 +34,7 @@
 from foldloom.seed_discovery.owners.dispatch import OwnerDispatch
 from foldloom.seed_discovery.owners.elector import Elector
 from foldloom.seed_discovery.owners.zone_owner import ZoneOwner
+from foldloom.seed_discovery.scheduling.overload import OverloadControl
 from foldloom.settings import ENTRY, Settings
 from foldloom.tasks import TaskSet
 from foldloom.time_limits import SuspendAwareTimeout, sleep
@@ -65,7 +66,8 @@
         self._read_queues = read_queues
         self._queues: QueueTable | None = None
         self._metrics = Metrics(settings.statsd)
-        self._loop_delay = LoopDelay(self._metrics, self._queue_details)
+        self._overload = OverloadControl()
+        self._loop_delay = LoopDelay(self._metrics, self._queue_details, self._overload.update)
         self._metrics_server = MetricsServer(self._metrics, settings.metrics_address)
         self._network = PeerNetwork(settings, new_incarnation(), self._metrics)
         own = BoxRecord(
@@ -192,7 +194,12 @@
         owner = self._elector.owner
         if owner is None:
             return {"jobs": self._jobs.running_count}
-        return {"jobs": self._jobs.running_count, **owner.queue_state()._asdict()}
+        rejected_share = round(self._overload.rejected_share, 2)
+        return {
+            "jobs": self._jobs.running_count,
+            "rejected_share": rejected_share,
+            **owner.queue_state()._asdict(),
+        }
 
     def _make_owner(self, record: OwnerRecord) -> ZoneOwner:
         context = OwnerContext(
@@ -205,5 +212,6 @@
             published_version=lambda: self._holder.version,
             catalog_age_ms=lambda: monotonic_ms() - self._started_ms,
             bindings_from_others=self._client.bindings_from_others,
+            overload=self._overload,
         )
         return ZoneOwner(record, context, self._elector.note_fenced)
--- a/src/foldloom/seed_discovery/owners/admission.py
+++ b/src/foldloom/seed_discovery/owners/admission.py
@@ -22,6 +22,7 @@
 )
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
 from foldloom.seed_discovery.scheduling.groups import RunGroup
+from foldloom.seed_discovery.scheduling.overload import OverloadControl
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId
 from foldloom.seed_discovery.scheduling.run_queue import RunQueue
 
@@ -29,6 +30,8 @@
 # with their timeouts.
 WARM_UP_MS = 500.0
 
+# Reason of a rejection for lack of capacity of the endpoints or of this box.
+_OVERLOAD = "overload"
 _TAKEN = SubmitReply(SubmitStatus.TAKEN)
 
 
@@ -40,6 +43,7 @@
         stealing: Queued groups and loads of other zones.
         candidates: The zone's endpoints by id.
         all_endpoints: Returns the endpoints of all zones; none while the list may be incomplete.
+        overload: The rejection of new jobs while this box is late.
     """
 
     def __init__(
@@ -48,13 +52,25 @@
         stealing: WorkStealing,
         candidates: Mapping[str, ZoneEndpoint],
         all_endpoints: Callable[[], Sequence[EndpointRecord]],
+        overload: OverloadControl,
     ) -> None:
         self._run_queue = run_queue
         self._stealing = stealing
         self._candidates = candidates
         self._all_endpoints = all_endpoints
+        self._overload = overload
         self._first_submission_ms = 0.0
 
+    def reject_unread(self, message: SubmitRuns) -> SubmitReply | None:
+        """Return the rejection of a new job if this box is too late to take it, else ``None``.
+
+        Nothing of the job has been queued here yet.
+        """
+        if not _is_first_delivery(message) or message.orders[0].step:
+            return None
+        retry_ms = self._overload.reject(message.priority)
+        return SubmitReply(SubmitStatus.REFUSED, _OVERLOAD, retry_ms) if retry_ms else None
+
     def decide(self, message: SubmitRuns, now_ms: float) -> SubmitReply:
         """Accept or reject a submission whose runs are queued already.
 
@@ -74,7 +90,7 @@
         wait_ms = self._expected_wait_ms(group, now_ms)
         if not misses_objective(group, wait_ms, now_ms):
             return _TAKEN
-        return SubmitReply(SubmitStatus.REFUSED, "overload", retry_after_ms(wait_ms))
+        return SubmitReply(SubmitStatus.REFUSED, _OVERLOAD, retry_after_ms(wait_ms))
 
     def _is_unplaceable(self, message: SubmitRuns) -> bool:
         """Return whether no endpoint of any zone could run the tasks of *message*."""
--- a/src/foldloom/seed_discovery/owners/context.py
+++ b/src/foldloom/seed_discovery/owners/context.py
@@ -12,6 +12,7 @@
 from foldloom.seed_discovery.endpoints.catalog import EndpointCatalog
 from foldloom.seed_discovery.fleet.view import FleetView
 from foldloom.seed_discovery.owners.messages import EndpointBinding
+from foldloom.seed_discovery.scheduling.overload import OverloadControl
 from foldloom.settings import TimingSettings
 
 
@@ -33,6 +34,7 @@
         catalog_age_ms: Returns for how long the catalog has been maintained.
         bindings_from_others: Returns the bindings to endpoints of a zone that boxes and earlier
             owners, and not its owner with this token, have reported to this box.
+        overload: The rejection of new jobs while this box is late.
     """
 
     view: FleetView
@@ -44,3 +46,4 @@
     published_version: Callable[[], int]
     catalog_age_ms: Callable[[], float]
     bindings_from_others: Callable[[str, int], Sequence[EndpointBinding]] = _no_bindings
+    overload: OverloadControl | None = None
--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -80,6 +80,10 @@
             self._stealing.release_reservation(group_of(task))
             self._accept_run(holder, task, order, spec, bound, now_ms)
 
+    def note_rejected(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> None:
+        """Record that the runs of *message* were not accepted, so that later copies are not."""
+        self.cancel(holder, message.job_id, newest_delivery(message), now_ms)
+
     def cancel(self, holder: HolderId, job_id: str, delivery: int, now_ms: float) -> bool:
         """Release *holder*'s runs of a job; return whether any run of the job may have started.
 
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -38,6 +38,7 @@
 from foldloom.seed_discovery.owners.unattainable import retire_unattainable
 from foldloom.seed_discovery.scheduling.crashes import CrashCount
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
+from foldloom.seed_discovery.scheduling.overload import OverloadControl
 from foldloom.seed_discovery.scheduling.placing import place
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId, GroupSummary
 from foldloom.seed_discovery.scheduling.run_queue import RunQueue
@@ -54,12 +55,14 @@
         run_expiry_ms: Longest time that a run can outlast its owner's session.
         all_endpoints: Returns the endpoint records of all zones; empty while the catalog may be
             incomplete.
+        overload: The rejection of new jobs while this box is late.
     """
 
     def __init__(
         self,
         run_expiry_ms: float,
         all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
+        overload: OverloadControl | None = None,
     ) -> None:
         self._is_catalog_complete = False
         self._candidates: dict[str, ZoneEndpoint] = {}
@@ -72,7 +75,11 @@
             self._lifecycle, self._stealing, self._candidates, run_expiry_ms
         )
         self._admission = Admission(
-            self._lifecycle.run_queue, self._stealing, self._candidates, all_endpoints
+            self._lifecycle.run_queue,
+            self._stealing,
+            self._candidates,
+            all_endpoints,
+            overload or OverloadControl(),
         )
 
     @property
@@ -114,6 +121,10 @@
         """Queue the runs of *message* for *holder*, or refuse them."""
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
+        rejection = self._reject_new_job(message)
+        if rejection is not None:
+            self._deliveries.note_rejected(holder, message, now_ms)
+            return rejection
         for binding in message.bindings:
             self.adopt(binding, now_ms)
             # The order of another owner may be executed, whatever becomes of these runs.
@@ -125,6 +136,15 @@
             self.cancel(holder, message.job_id, now_ms, newest_delivery(message))
         return reply
 
+    def _reject_new_job(self, message: SubmitRuns) -> SubmitReply | None:
+        """Return the rejection of a job that this owner does not know and is too late to take.
+
+        A job with bindings may have been started by another owner.
+        """
+        if message.bindings or self._lifecycle.runs_of_job(message.job_id):
+            return None
+        return self._admission.reject_unread(message)
+
     def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
         """Bind a task by the order of another owner, unless its endpoint lists the run."""
         task, attempt = binding.run_id
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -80,7 +80,9 @@
         self._network = context.network
         self._metrics = context.metrics
         self._on_fenced = on_fenced
-        self._state = OwnerState(run_expiry_ms(timings.endpoint_lease_ms), self._all_endpoints)
+        self._state = OwnerState(
+            run_expiry_ms(timings.endpoint_lease_ms), self._all_endpoints, context.overload
+        )
         self._sessions = Sessions(record.zone, record.token, context.network, timings.session_ms)
         lease_ms = float(timings.endpoint_lease_ms)
         lease_durations = LeaseDurations(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 from soak_faults import Faults
 from soak_foreign_reports import ForeignReports
 from soak_patience import RetryingCallers
+from soak_processor import ProcessorFaults
 from soak_same_id import SameIdFaults, restart_and_drain
 from soak_site_faults import SiteFaults
 from soak_suspensions import SuspensionFaults
@@ -103,6 +104,19 @@
     await _check(seed, system, [callers], operator, faults)
 
 
+async def _play_processor(seed: int, system: PlatformSystem, size: _Size) -> None:
+    callers = Callers(system, random.Random(f"{seed} processor callers"))
+    operator = Operator(system, random.Random(f"{seed} processor operator"))
+    faults = ProcessorFaults(system, random.Random(f"{seed} processor faults"))
+    is_over = asyncio.Event()
+    await asyncio.gather(
+        callers.run(size.callers, is_over),
+        operator.run(is_over),
+        _run_then_recover(faults, is_over),
+    )
+    await _check(seed, system, [callers], operator, faults)
+
+
 async def _run_then_recover(faults: Faults, is_over: asyncio.Event) -> None:
     """Run the faults, then keep the callers running while the boxes recover.
 
@@ -208,6 +222,7 @@
 _SITE_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
 _SAME_ID_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
 _SUSPENSION_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
+_PROCESSOR_SEEDS = int(os.environ.get("FOLDLOOM_SOAK_SEEDS", "2"))
 _KINDS = [kind for kind in os.environ.get("FOLDLOOM_SOAK_KINDS", "").split(",") if kind]
 _IS_CROWDED = bool(os.environ.get("FOLDLOOM_SOAK_CROWDED"))
 _PLAY_TIMEOUT = pytest.mark.timeout(_CROWDED_TIMEOUT_S if _IS_CROWDED else _TIMEOUT_S)
@@ -269,6 +284,16 @@
         _run(_play_suspensions, PlatformSystem, tmp_path, seed)
 
 
+@pytest.mark.parametrize("seed", range(_FIRST_SEED, _FIRST_SEED + _PROCESSOR_SEEDS))
+@_PLAY_TIMEOUT
+class TestProcessorSoak:
+    """Guards the guarantees when boxes, owners among them, get a share of their processor time."""
+
+    def test_the_promises_hold(self, tmp_path: Path, seed: int) -> None:
+        """The guarantees hold, and the boxes serve again once they have all of it."""
+        _run(_play_processor, PlatformSystem, tmp_path, seed)
+
+
 _JOB = job_id(JOB_NUMBERS_START)
 
 
