Remember cancels and skip customers at their limit without walking all of them

An owner remembers each cancel for 1 s and looked at all of them in each tick, also those of jobs that it had rejected. They are now kept in the order of expiry. Own interface: a match looked at each request of a customer at its limit; it now leaves the customer out. The order of grants is the same.

--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -90,7 +90,8 @@
         Runs with a higher delivery number stay: they belong to a later submission of the same id.
         """
         cancel = _Cancel(now_ms, delivery)
-        known = self._cancels.get((holder, job_id), cancel)
+        # Removed first, so that insertion order is the order of expiry.
+        known = self._cancels.pop((holder, job_id), cancel)
         # Cancels are retransmitted until answered, so one of an earlier submission may arrive last.
         self._cancels[holder, job_id] = cancel.joined(known)
         runs = self._lifecycle.runs_of_job(job_id)
@@ -109,9 +110,11 @@
 
     def expire_cancels(self, now_ms: float) -> None:
         """Drop cancels older than their time-to-live."""
-        for key, cancel in list(self._cancels.items()):
-            if now_ms - cancel.received_ms >= CANCEL_TTL_MS:
-                del self._cancels[key]
+        while self._cancels:
+            key, cancel = next(iter(self._cancels.items()))
+            if now_ms - cancel.received_ms < CANCEL_TTL_MS:
+                return
+            del self._cancels[key]
 
     def _accept_run(
         self,
--- a/src/foldloom/static_peers/placement/queue.py
+++ b/src/foldloom/static_peers/placement/queue.py
@@ -84,10 +84,15 @@
         """Return the number of queued tasks of *service*."""
         return self._tasks_of_service.get(service, 0)
 
-    def in_round_robin_order(self) -> Iterator[PendingRequest]:
-        """Yield every request, customer by customer in round-robin order, oldest first."""
+    def in_round_robin_order(self, is_full: Callable[[str], bool]) -> Iterator[PendingRequest]:
+        """Yield requests, customer by customer in round-robin order, oldest first.
+
+        Args:
+            is_full: Returns whether a customer may run no further task; it is left out.
+        """
         for customer in self._round_robin.order():
-            yield from self._by_customer[customer].values()
+            if not is_full(customer):
+                yield from self._by_customer[customer].values()
 
     def of_service(self, service: str) -> Iterator[PendingRequest]:
         """Yield the requests of *service*, oldest first."""
--- a/src/foldloom/static_peers/placement/shard.py
+++ b/src/foldloom/static_peers/placement/shard.py
@@ -197,9 +197,7 @@
     def _match_next(self, now_ms: float) -> Grant | None:
         """Grant one slot, or return ``None`` if no request can be served now."""
         choices: dict[str, Choice | None] = {}
-        for pending in self._queue.in_round_robin_order():
-            if self._is_customer_full(pending.request.customer):
-                continue
+        for pending in self._queue.in_round_robin_order(self._is_customer_full):
             service = pending.request.service
             if service not in choices:
                 choices[service] = self._choose(service)
--- a/tests/test_owners_queue_cost.py
+++ b/tests/test_owners_queue_cost.py
@@ -8,14 +8,11 @@
 
 from __future__ import annotations
 
-import gc
-import sys
 from collections.abc import Callable
-from types import FrameType
-from typing import Any
 
 import pytest
 
+from executed_instructions import executed_instructions
 from foldloom.seed_discovery.endpoints.calls import EndpointReport
 from foldloom.seed_discovery.jobs.spec import Demand
 from foldloom.seed_discovery.owners.messages import Objective, SubmitStatus
@@ -35,29 +32,6 @@
 Event = Callable[[OwnerState], object]
 
 
-def _executed_instructions(call: Callable[[], object]) -> int:
-    """Return the number of bytecode instructions that *call* executes."""
-    count = 0
-
-    def trace(frame: FrameType, event: str, _argument: Any) -> Any:
-        nonlocal count
-        frame.f_trace_opcodes = True
-        frame.f_trace_lines = False
-        count += event == "opcode"
-        return trace
-
-    earlier = sys.gettrace()
-    # Callbacks of a collection would be counted too.
-    gc.disable()
-    sys.settrace(trace)
-    try:
-        call()
-    finally:
-        sys.settrace(earlier)
-        gc.enable()
-    return count
-
-
 def _job_id(number: int) -> str:
     return f"{number:016x}"
 
@@ -129,5 +103,19 @@
         work = {}
         for groups in (_SHORT, _LONG):
             state = _full_zone(groups, are_demands_equal, has_slow_endpoint)
-            work[groups] = _executed_instructions(lambda state=state: handle(state))
+            work[groups] = executed_instructions(lambda state=state: handle(state))
+        assert work[_LONG] <= _GROWTH_MAX * work[_SHORT], work
+
+
+class TestCancelCost:
+    """A tick costs the same after many cancels, each of which is remembered for a while."""
+
+    def test_it_does_not_grow(self) -> None:
+        """Guards against rejections that make the owner later than it is."""
+        work = {}
+        for cancels in (_SHORT, _LONG):
+            state = owner_with(endpoint("w0"))
+            for number in range(cancels):
+                state.cancel(_BOX, _job_id(number), _NOW_MS)
+            work[cancels] = executed_instructions(lambda state=state: state.tick(_NOW_MS + 1))
         assert work[_LONG] <= _GROWTH_MAX * work[_SHORT], work
