Aim at a standing delay of 5 ms in place of 20

A job waits for about ten events on its way, so 20 ms each spends the objectives of short jobs many times over; and the shortest of four samples understates the delay of a loop whose turns are of 10 ms.

The standing delay is now the median of five samples, which a single pause does not change either. The share falls by 0.2 a second without delay, as before, and the retry delay is bounded by 5 s, since many callers were told to return after the same 2 s.

--- a/src/foldloom/loop_delay.py
+++ b/src/foldloom/loop_delay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import statistics
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -18,10 +19,10 @@
 
 # Time between two samples.
 _SAMPLE_INTERVAL_MS = 25.0
-# Samples of which the shortest delay counts as standing, so that a single pause does not.
-_STANDING_SAMPLES = 4
-# Standing delay that is logged: about a round trip and a half in the zone is lost to each call.
-_LOGGED_DELAY_MS = 20.0
+# Samples of which the median counts as the standing delay, so that a single pause does not.
+_STANDING_SAMPLES = 5
+# Standing delay that is logged. A job waits as long at each of the events that lead to its answer.
+_LOGGED_DELAY_MS = 10.0
 # Time between two lines of the log.
 _LOG_INTERVAL_MS = 1_000.0
 
@@ -54,7 +55,7 @@
         self._metrics = metrics
         self._details = details
         self._on_sample = on_sample
-        self._delays_ms: deque[float] = deque([0.0], maxlen=_STANDING_SAMPLES)
+        self._delays_ms = deque([0.0] * _STANDING_SAMPLES, maxlen=_STANDING_SAMPLES)
         self._longest_ms = 0.0
         self._logged_ms = monotonic_ms()
         self._logged_processor_s = time.process_time()
@@ -62,7 +63,7 @@
     @property
     def standing_ms(self) -> float:
         """The delay that events have at present, in milliseconds; not that of a single pause."""
-        return min(self._delays_ms)
+        return statistics.median(self._delays_ms)
 
     async def run(self) -> None:
         """Sample the delay until cancelled."""
--- a/src/foldloom/seed_discovery/scheduling/overload.py
+++ b/src/foldloom/seed_discovery/scheduling/overload.py
@@ -10,24 +10,24 @@
 
 import random
 
-# Standing delay that the controller aims at: jobs with the shortest objectives are still on time.
-TARGET_DELAY_MS = 20.0
+# Standing delay that the controller aims at. A job waits as long at each of the events that lead to
+# its answer, about ten, and those with the shortest objectives must still be on time.
+TARGET_DELAY_MS = 5.0
 # A longer delay counts as this one, so that the share does not jump after a pause.
 _DELAY_MAX_MS = 400.0
 # Time between two updates.
 UPDATE_INTERVAL_MS = 100.0
-# Change of the share with each update, for each millisecond beyond the target, and for each
-# millisecond by which the delay has grown.
-_SHARE_PER_EXCESS_MS = 0.001
+# Change of the share with each update: for each millisecond beyond the target, for each millisecond
+# by which the delay has grown, and without any delay.
+_SHARE_PER_EXCESS_MS = 0.002
 _SHARE_PER_GROWTH_MS = 0.003
+_SHARE_FALL = 0.02
 _SHARE_STEP_MAX = 0.2
 # Some jobs are always taken, so that the delay can be observed.
 _SHARE_MAX = 0.95
-# Fall of the share in a second without any delay.
-_SHARE_FALL_PER_S = _SHARE_PER_EXCESS_MS * TARGET_DELAY_MS * 1_000 / UPDATE_INTERVAL_MS
-# Bounds of the retry delay of rejected jobs.
+# Bounds of the retry delay of rejected jobs; the largest share falls to 0 in less than the upper one.
 _RETRY_MIN_MS = 100
-_RETRY_MAX_MS = 2_000
+_RETRY_MAX_MS = 5_000
 
 
 class OverloadControl:
@@ -58,7 +58,10 @@
         if now_ms - self._updated_ms < UPDATE_INTERVAL_MS:
             return
         delay_ms = min(standing_delay_ms, _DELAY_MAX_MS)
-        step = _SHARE_PER_EXCESS_MS * (delay_ms - TARGET_DELAY_MS)
+        excess_ms = delay_ms - TARGET_DELAY_MS
+        step = excess_ms * (
+            _SHARE_PER_EXCESS_MS if excess_ms > 0 else _SHARE_FALL / TARGET_DELAY_MS
+        )
         step += _SHARE_PER_GROWTH_MS * (delay_ms - self._delay_ms)
         step = max(-_SHARE_STEP_MAX, min(_SHARE_STEP_MAX, step))
         self._share = max(0.0, min(_SHARE_MAX, self._share + step))
@@ -77,5 +80,5 @@
         draw = self._draws.random()
         if draw >= share:
             return 0
-        fall_ms = (share - draw) / _SHARE_FALL_PER_S * 1_000
+        fall_ms = (share - draw) / _SHARE_FALL * UPDATE_INTERVAL_MS
         return int(min(_RETRY_MAX_MS, max(_RETRY_MIN_MS, fall_ms)))
