--- a/src/foldloom/seed_discovery/scheduling/overload.py
+++ b/src/foldloom/seed_discovery/scheduling/overload.py
@@ -25,7 +25,8 @@
 _SHARE_STEP_MAX = 0.2
 # Some jobs are always taken, so that the delay can be observed.
 _SHARE_MAX = 0.95
-# Bounds of the retry delay of rejected jobs; the largest share falls to 0 in less than the upper one.
+# Bounds of the retry delay of rejected jobs; the largest share falls to 0 in less than the upper
+# one.
 _RETRY_MIN_MS = 100
 _RETRY_MAX_MS = 5_000
 
