Mutation tests of the queue's cost, speeds, overload control and HTTP pool

Eleven mechanisms are disabled one at a time, and each fails its test. At first the mutation 'a run over a silence does not count' passed, so that nothing guarded it: TestDurationEstimates is new.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -49,6 +49,9 @@
 _OWNERS_CLIENT = "tests/test_owners_client.py::"
 _CRASHED_ENDPOINTS = "tests/test_owners_crashed_endpoints.py::"
 _OWNERS_DECISIONS = "tests/test_owners_decisions.py::"
+_QUEUE_COST = "tests/test_owners_queue_cost.py::"
+_SILENT_SPEEDS = "tests/test_owners_silent_speeds.py::"
+_OVERLOAD = "tests/test_scheduling_overload.py::"
 
 MUTATIONS = [
     Mutation(
@@ -877,6 +880,83 @@
         "if False:",
         "tests/test_owners_admission.py",
     ),
+    Mutation(
+        "a round ends if no task fits",
+        "seed_discovery/scheduling/placing.py",
+        "if order.smallest_cpu_milli > max(free_cpu_milli.values(), default=-1):",
+        "if False:",
+        f"{_QUEUE_COST}TestQueueCost",
+    ),
+    Mutation(
+        "tries in a round are limited",
+        "seed_discovery/scheduling/placing.py",
+        "self._tries_left -= 1",
+        "pass",
+        f"{_QUEUE_COST}TestQueueCost",
+    ),
+    Mutation(
+        "a group is ranked again when its tier's deadline passes",
+        "seed_discovery/scheduling/serving_order.py",
+        "self._expiries[0].at_ms < now_ms",
+        "False",
+        "tests/test_scheduling_serving_order.py",
+    ),
+    Mutation(
+        "a group is ranked again when a task has ended",
+        "seed_discovery/scheduling/serving_order.py",
+        "        if group in self._ranked:\n            self._remove(group)\n",
+        "        if False:\n            self._remove(group)\n",
+        "tests/test_scheduling_serving_order.py",
+    ),
+    Mutation(
+        "a run counts until the poll that lists it",
+        "seed_discovery/owners/stragglers.py",
+        "listed_ms = last_polled_ms.get(run.endpoint, 0.0) - run.began_ms",
+        "listed_ms = ran_ms",
+        f"{_SILENT_SPEEDS}TestSilentEndpoint",
+    ),
+    Mutation(
+        "a run over a silence does not count",
+        "seed_discovery/owners/lifecycle.py",
+        "and ran_ms and self._was_heard(run):",
+        "and ran_ms:",
+        f"{_SILENT_SPEEDS}TestDurationEstimates",
+    ),
+    Mutation(
+        "estimates of speeds age",
+        "seed_discovery/scheduling/speeds.py",
+        "> _EVIDENCE_TTL_MS:",
+        "> math.inf:",
+        f"{_SILENT_SPEEDS}TestSlowEndpoint",
+    ),
+    Mutation(
+        "a late owner rejects new jobs",
+        "seed_discovery/owners/state.py",
+        "if rejection is not None:",
+        "if False:",
+        f"{_OVERLOAD}TestLateOwner::test_new_job",
+    ),
+    Mutation(
+        "a late owner takes jobs under way",
+        "seed_discovery/owners/admission.py",
+        "if not _is_first_delivery(message) or message.orders[0].step:",
+        "if message.orders[0].step:",
+        f"{_OVERLOAD}TestLateOwner::test_job_that_is_under_way",
+    ),
+    Mutation(
+        "a response that breaks off is not whole",
+        "http_pool.py",
+        "if exc is None and self._has_headers and not self._has_length:",
+        "if exc is None and not self._has_length:",
+        "tests/test_http_pool.py::TestFailures",
+    ),
+    Mutation(
+        "a connection is not used after a timeout",
+        "http_pool.py",
+        "                connection.close()\n                raise\n",
+        "                self._keep(connection)\n                raise\n",
+        "tests/test_http_pool.py::TestFailures",
+    ),
 ]
 
 
--- a/tests/test_owners_silent_speeds.py
+++ b/tests/test_owners_silent_speeds.py
@@ -28,6 +28,8 @@
 _POLL_MS = 20.0
 # The usual demands fit twice on an endpoint, so a job of eight tasks needs all of four.
 _OBJECTIVE = Objective(0, 1.6, 20, 0)
+# Runs of such a job are soon too late to be stopped and started again.
+_SHORT_OBJECTIVE = Objective(0, 1.0, 0, 0)
 _RECOVERY_MAX_MS = 5_000.0
 # An endpoint of half the usual speed still serves jobs with a usual objective in time.
 _USABLE_SPEED = 0.5
@@ -61,7 +63,7 @@
             self.state.tick(self._now_ms)
             self._start_placed()
 
-    def submit(self) -> None:
+    def submit(self, objective: Objective = _OBJECTIVE) -> None:
         """Submit a job of as many tasks as the zone has capacity for."""
         self._jobs += 1
         message = submission(
@@ -69,7 +71,7 @@
             job_id=f"{self._jobs:016x}",
             demand=Demand(6_800, 64, 0),
             estimate_ms=_TASK_MS,
-            objective=_OBJECTIVE,
+            objective=objective,
             deadline_ms=1_500,
         )
         self.state.submit(_BOX, message, self._now_ms)
@@ -134,6 +136,22 @@
         assert all(zone.started[name] > before[name] for name in zone.names)
 
 
+class TestDurationEstimates:
+    """The estimated duration of a queue's tasks after several silences."""
+
+    def test_they_leave_out_the_silence(self) -> None:
+        """Guards against jobs given up early because an end was reported late."""
+        zone = _SimulatedZone()
+        for _ in range(5):
+            zone.run(1_000.0, job_interval_ms=100.0)
+            zone.submit(_SHORT_OBJECTIVE)
+            zone.silent.update(zone.names)
+            zone.run(3_000.0)
+            zone.silent.clear()
+            zone.run(_POLL_MS)
+        assert zone.state._lifecycle._estimates.expected_ms("q", 0.0) < 2 * _TASK_MS
+
+
 class TestSlowEndpoint:
     """An endpoint that was slow is tried again."""
 
