Do not let held groups keep those behind them from free endpoints

Cause: a round is limited to ten combinations of requirements and ten groups of each that no endpoint suits, and held groups counted.

Change: they do not count any more. The work of a round grows with their number, which is that of bound or isolated tasks and of jobs with such limits, not with the queue.

--- a/src/foldloom/cli/explain.py
+++ b/src/foldloom/cli/explain.py
@@ -132,10 +132,14 @@
 
 def _with_margin(first: str, last: str) -> tuple[str, str]:
     """Return the times between which a delay of a box may concern a job; ISO 8601."""
-    return (
-        (datetime.fromisoformat(first) - _BEHIND_MARGIN).isoformat(),
-        (datetime.fromisoformat(last) + _BEHIND_MARGIN).isoformat(),
-    )
+    try:
+        return (
+            (datetime.fromisoformat(first) - _BEHIND_MARGIN).isoformat(),
+            (datetime.fromisoformat(last) + _BEHIND_MARGIN).isoformat(),
+        )
+    except ValueError:
+        # Lines of other programs may have another format; they are ordered as text all the same.
+        return first, last
 
 
 def _longest_delays(delays: list[LogLine]) -> list[str]:
--- a/src/foldloom/seed_discovery/scheduling/placing.py
+++ b/src/foldloom/seed_discovery/scheduling/placing.py
@@ -16,6 +16,7 @@
 from foldloom.seed_discovery.jobs.spec import Demand, Placement, TaskId
 from foldloom.seed_discovery.scheduling.crashes import NO_ISOLATIONS, Isolation
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
+from foldloom.seed_discovery.scheduling.groups import RunGroup
 from foldloom.seed_discovery.scheduling.ranking import Rank, Tier, speed_min
 from foldloom.seed_discovery.scheduling.remote_groups import (
     RESERVATION_TTL_MS,
@@ -30,11 +31,12 @@
 from foldloom.seed_discovery.scheduling.speeds import EndpointSpeeds
 
 # Combinations of requirements whose CPU demand is compared with the free capacity in one round,
-# those with the best group first, and combinations for which endpoints are then looked up.
+# those with the best group first, and combinations for which endpoints are then looked up. Groups
+# that may be held do not count, since they would keep those behind them from free endpoints.
 _REQUIREMENTS_COMPARED_MAX = 64
 _REQUIREMENTS_MAX = 10
 # Groups of one combination of requirements that may stay queued in one round although an endpoint
-# has capacity: it may be too slow for them, or not the one that their tasks are bound to.
+# has capacity but is too slow for them.
 _GROUPS_TRIED_MAX = 10
 
 _reservation_numbers = itertools.count(1)
@@ -105,6 +107,17 @@
     isolations: Mapping[TaskId, Isolation]
     bound_endpoints: Mapping[TaskId, str]
 
+    def may_be_held(self, group: RunGroup) -> bool:
+        """Return whether *group* may stay queued although an endpoint has capacity for it.
+
+        Its tasks may wait for one endpoint, for an idle one, or for the end of each other.
+        """
+        if group.spec.placement.per_endpoint_max:
+            return True
+        if not self.bound_endpoints and not self.isolations:
+            return False
+        return any(task in self.bound_endpoints or task in self.isolations for task in group.queued)
+
     def isolation_on(self, candidate: ZoneEndpoint) -> Isolation:
         """Return the strictest isolation among the tasks on an endpoint."""
         if not self.isolations:
@@ -138,10 +151,12 @@
             return None
         return self._ranked_groups[self._index]
 
-    def skip_rest(self, ranked: RankedGroup) -> None:
+    def skip_rest(self, ranked: RankedGroup, may_be_held: bool) -> None:
         """Go on to the group after *ranked*, whose runs have been placed as far as possible."""
-        if ranked.group.queued:
-            self._index += 1
+        if not ranked.group.queued:
+            return
+        self._index += 1
+        if not may_be_held:
             self._tries_left -= 1
 
     def drop_full_endpoints(self) -> None:
@@ -183,7 +198,8 @@
     """Place queued runs, allocate their capacity and remove them from the queue.
 
     Only groups for which an endpoint has capacity are considered, and a limited number of those
-    that no endpoint suits all the same: the work depends on the runs placed, not on those queued.
+    that no endpoint suits all the same: the work depends on the runs placed and on the groups that
+    may be held, not on all groups.
     """
     result = PlacementRound([], [])
     remote_groups = remote.stealable(now_ms)
@@ -236,9 +252,12 @@
     turns: list[_Turn] = []
     if order.smallest_cpu_milli > max(free_cpu_milli.values(), default=-1):
         return turns
-    for head in order.heads(_REQUIREMENTS_COMPARED_MAX):
-        if len(turns) == _REQUIREMENTS_MAX:
+    compared = looked_up = 0
+    for head in order.heads:
+        if compared == _REQUIREMENTS_COMPARED_MAX or looked_up == _REQUIREMENTS_MAX:
             break
+        counts = not context.may_be_held(head.group)
+        compared += counts
         spec = head.group.spec
         cpu_milli = spec.demand.cpu_milli
         if cpu_milli > free_cpu_milli.get(spec.service, -1):
@@ -251,6 +270,7 @@
             and _meets_requirements(requirements, candidate, context)
         ]
         if suitable:
+            looked_up += counts
             turns.append(
                 _own_turn(head, _GroupsInOrder(order.with_requirements_of(head), suitable))
             )
@@ -277,9 +297,9 @@
     requirements = _Requirements(
         spec.service, spec.demand, spec.placement, speed_min(ranked.group, now_ms)
     )
-    is_too_fast = requirements.speed_min > groups.speed_max(context.speeds)
-    if is_too_fast and not context.bound_endpoints:
-        groups.skip_rest(ranked)
+    may_be_held = context.may_be_held(ranked.group)
+    if not may_be_held and requirements.speed_min > groups.speed_max(context.speeds):
+        groups.skip_rest(ranked, may_be_held)
         return
     for run in list(ranked.group.queued.values()):
         own_requirements = _requirements_of_run(run, requirements, context)
@@ -292,7 +312,7 @@
         chosen.resources.allocate(run.task, spec.demand)
         run_queue.remove(run.task)
         placed.append(PlacedRun(run, chosen.record.endpoint))
-    groups.skip_rest(ranked)
+    groups.skip_rest(ranked, may_be_held)
 
 
 def _requirements_of_run(
--- a/src/foldloom/seed_discovery/scheduling/serving_order.py
+++ b/src/foldloom/seed_discovery/scheduling/serving_order.py
@@ -11,7 +11,7 @@
 import itertools
 import math
 from bisect import bisect_left, bisect_right, insort
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from foldloom.seed_discovery.jobs.spec import Demand, Placement
@@ -123,9 +123,10 @@
             self._insert(RankedGroup(rank(group, now_ms), next(self._numbers), group))
         self._drop_stale_expiries()
 
-    def heads(self, limit: int) -> list[RankedGroup]:
-        """Return the first group of each combination of requirements, *limit* at the most."""
-        return self._heads[:limit]
+    @property
+    def heads(self) -> Sequence[RankedGroup]:
+        """The first group of each combination of requirements, in serving order."""
+        return self._heads
 
     def with_requirements_of(self, ranked: RankedGroup) -> list[RankedGroup]:
         """Return the groups with the same requirements; the list changes with the order."""
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -70,3 +70,12 @@
             LogLine("2026-01-01T00:00:01.500000", "e1", "job.ended", {"job": "a1", "reason": "x"}),
         ]
         assert explain("a1", lines).cause == "e1 was behind by 300 ms; x"
+
+    def test_other_times(self) -> None:
+        """Guards against a log whose times have another format."""
+        lines = [
+            LogLine("10:00:01", "e1", "job.accepted", {"job": "a1"}),
+            LogLine("10:00:02", "e1", "process.behind", {"delay_ms": 300}),
+            LogLine("10:00:03", "e1", "job.ended", {"job": "a1", "reason": "x"}),
+        ]
+        assert explain("a1", lines).cause == "e1 was behind by 300 ms; x"
--- a/tests/test_scheduling_serving_order.py
+++ b/tests/test_scheduling_serving_order.py
@@ -91,6 +91,6 @@
             best: dict[object, object] = {}
             for one in order:
                 best.setdefault(requirements_of(one), one)
-            assert [head.group for head in order.heads(_GROUPS_MAX)] == list(best.values())
+            assert [head.group for head in order.heads] == list(best.values())
             demands = [one.spec.demand.cpu_milli for one in present]
             assert order.smallest_cpu_milli == min(demands, default=float("inf"))
