--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -9,10 +9,12 @@
 import signal
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from platform_system import PlatformSystem, play
+from programs import settings_mtime_ns, watch_seeds
 
 _START_TIMEOUT_S = 20.0
 # The interval at which the programs check their settings file, plus slack.
@@ -85,6 +87,42 @@
         play(scenario, tmp_path)
 
 
+class TestActionOfHangup:
+    """What SIGHUP does in a program from the start of its watch to the end of its event loop."""
+
+    def test_it_never_ends_the_process(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a SIGHUP that arrives while the action changes and ends the process."""
+        settings = tmp_path / "settings.toml"
+        settings.write_text("")
+        monkeypatch.setenv("FOLDLOOM_SETTINGS", str(settings))
+        actions: list[object] = []
+        set_action = signal.signal
+
+        def record(number: int, action: Any) -> Any:
+            if number == signal.SIGHUP:
+                actions.append(action)
+            return set_action(number, action)
+
+        monkeypatch.setattr(signal, "signal", record)
+
+        async def watch_briefly() -> None:
+            watcher = asyncio.create_task(watch_seeds(lambda seeds: None, settings_mtime_ns()))
+            await asyncio.sleep(0.01)
+            watcher.cancel()
+            await asyncio.gather(watcher, return_exceptions=True)
+
+        before = signal.getsignal(signal.SIGHUP)
+        try:
+            asyncio.run(watch_briefly())
+            assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+        finally:
+            set_action(signal.SIGHUP, before)
+        assert actions
+        assert signal.SIG_DFL not in actions
+
+
 class TestMissingSettingsFile:
     """A settings file that is missing for a while, as when it is not replaced atomically."""
 
