Name the rejection by a late owner for its reason

reject_unread suggested a message that is not decoded; the message is read, and nothing of its job is queued. reject_while_late says when it applies.

--- a/src/foldloom/seed_discovery/owners/admission.py
+++ b/src/foldloom/seed_discovery/owners/admission.py
@@ -61,7 +61,7 @@
         self._overload = overload
         self._first_submission_ms = 0.0
 
-    def reject_unread(self, message: SubmitRuns) -> SubmitReply | None:
+    def reject_while_late(self, message: SubmitRuns) -> SubmitReply | None:
         """Return the rejection of a new job if this box is too late to take it, else ``None``.
 
         Nothing of the job has been queued here yet.
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -143,7 +143,7 @@
         """
         if message.bindings or self._lifecycle.runs_of_job(message.job_id):
             return None
-        return self._admission.reject_unread(message)
+        return self._admission.reject_while_late(message)
 
     def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
         """Bind a task by the order of another owner, unless its endpoint lists the run."""
