Log on which grounds a recovering run counts as lost

The logs did not tell whether a new owner had taken a run for lost because of the reports of the endpoints it knows, and of how many, or because its lease had expired. run.not_recovered says so.

--- a/src/foldloom/seed_discovery/owners/recovery.py
+++ b/src/foldloom/seed_discovery/owners/recovery.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from foldloom.logs import PLACE_LOG
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.owners.messages import EndCause
 from foldloom.seed_discovery.scheduling.endpoints import ZoneEndpoint
@@ -70,4 +71,19 @@
     for run in recovering:
         polled_ms = polled_ms_by_service.get(run.spec.service, [])
         if is_lost(run, polled_ms, is_catalog_complete, now_ms):
+            _log_lost(run, len(polled_ms), now_ms)
             lifecycle.finish(run, EndCause.LOST, "", now_ms)
+
+
+def _log_lost(run: Run, endpoints: int, now_ms: float) -> None:
+    """Log on which grounds a recovering run counts as lost."""
+    bound = run.recovery_bound
+    PLACE_LOG.event(
+        "run.not_recovered",
+        job=run.task.job_id,
+        run=run.run_id.text,
+        grounds="time" if now_ms >= bound.lost_at_ms else "reports",
+        endpoints=endpoints,
+        session_left_ms=int(bound.reports_after_ms - now_ms),
+        lease_left_ms=int(bound.lost_at_ms - now_ms),
+    )
