Show runs lost on endpoints that the next owner has not heard of

A run that an earlier owner started is taken for lost once all endpoints that the next owner knows have reported without it. If the next owner knows none, or not the one that runs it, this holds while the run continues.

The simulated zones lacked endpoints that restart under another id, of which only chosen boxes hear, or hear late. With them the fault shows by fixed steps: two owners paused in turn, with no or one other endpoint known; nothing paused, the owner cut off and the record late; and the owner killed 30 or 250 ms after its box was told of the start.

--- a/tests/models/standing_boxes.py
+++ b/tests/models/standing_boxes.py
@@ -243,6 +243,10 @@
         """Pause *box* for *for_s* seconds after *after_callbacks* more of its callbacks."""
         self.turns.pause_life(self._contexts[box][LIFE], after_callbacks, for_s, waking)
 
+    def is_paused(self, box: str) -> bool:
+        """Return whether *box* is paused."""
+        return self.turns.is_paused(self._contexts[box][LIFE])
+
     def catalog_age_ms(self, started_ms: float) -> float:
         """Return the age of the endpoint catalog of a box started at *started_ms*."""
         age_ms = monotonic_ms() - started_ms
--- /dev/null
+++ b/tests/models/unknown_endpoints.py
@@ -0,0 +1,255 @@
+# SPDX-License-Identifier: MIT
+"""Simulated zones whose endpoints restart under new ids, of which not all boxes hear in time.
+
+A new endpoint has seen no fencing token. Its record is told to chosen boxes only, or late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from foldloom.clock import monotonic_ms
+from foldloom.seed_discovery.endpoints.calls import (
+    CallOutcome,
+    CallReply,
+    PollOrder,
+    PollReply,
+    StartOrder,
+)
+from foldloom.seed_discovery.endpoints.records import EndpointRecord
+from models.endpoint_world import SimulatedEndpoint
+from models.settled_zones import NEVER_MS, SettledZonesWorld, run_in_settled_zones
+from models.virtual_time import PausableLoop, Waking
+from models.zones_world import CONTROLLER, ZONES, Start
+
+JOB = "c" * 16
+# Longer than a session and a lease together, so that only a lapse or a stop ends the run early.
+TASK_MS = 1_500.0
+_CLOCK_RATE = 0.98
+_CHECK_S = 0.005
+# Until a box that has heard of new endpoints has polled them.
+_POLLED_S = 0.1
+# From the restart of all endpoints until the last poll of a previous one has ended.
+_POLLS_ENDED_S = 0.45
+# When the next owner hears of the new endpoints, after it can first decide on the run. The run's
+# lease has expired by then, unless it is renewed.
+_TOLD_LATE_S = 0.7
+# A short job of the same box: an owner tells a box that a start has been answered together with the
+# next notice, and the box binds the tasks of starts that may be unanswered.
+_NEXT_JOB = "d" * 16
+_NEXT_TASK_MS = 20.0
+_SHORT_JOBS = 35
+
+
+class UnknownEndpointsWorld(SettledZonesWorld):
+    """Zones in which a run starts on an endpoint of which the zone's next owner has not heard.
+
+    ``unknown_at_handover`` tells whether the next owner has not heard of the endpoint when it can
+    first decide on the run.
+    """
+
+    def __init__(self, seed: int, loop: PausableLoop) -> None:
+        super().__init__(seed, loop)
+        self.replaced: set[str] = set()
+        self.unknown_at_handover = False
+        self._replaced_count = 0
+        self._started = asyncio.Event()
+
+    @property
+    def first_start(self) -> Start:
+        """The first start of the job's task."""
+        return self.starts[JOB][0]
+
+    # Endpoints that restart under new ids.
+
+    def replace_endpoint(self, name: str) -> EndpointRecord:
+        """Restart an endpoint under a new id; return its record, of which no box has heard."""
+        previous = next(record for record in self.records if record.endpoint == name)
+        self.replaced.add(name)
+        self.endpoints[name].active.clear()
+        self._replaced_count += 1
+        successor = f"{name}-r{self._replaced_count}"
+        self.births[successor] = int(monotonic_ms())
+        self.endpoints[successor] = SimulatedEndpoint(successor, _CLOCK_RATE, monotonic_ms())
+        record = previous._replace(endpoint=successor, sequence=1, born_ms=self.births[successor])
+        # Boxes that start later hear of it when they join a controller.
+        self.records = [record if known == previous else known for known in self.records]
+        return record
+
+    def replace_endpoints(self, zone: str) -> list[EndpointRecord]:
+        """Restart all endpoints of *zone* under new ids; return their records."""
+        names = [record.endpoint for record in self.records if record.zone == zone]
+        return [self.replace_endpoint(name) for name in names]
+
+    def tell_boxes(self, records: Iterable[EndpointRecord], boxes: Iterable[str]) -> None:
+        """Have a controller forward *records* to *boxes* only."""
+        boxes = list(boxes)
+        for record in records:
+            for box in boxes:
+                merge = self.boxes[box].merge_record
+                self.turns.deliver(self.context_of(box), merge, record)
+
+    def tell_late(
+        self, records: Iterable[EndpointRecord], boxes: Iterable[str], after_s: float
+    ) -> None:
+        """Have a controller forward *records* to *boxes* after *after_s* seconds."""
+        told = list(records), list(boxes)
+        self._call_later(after_s, lambda: self.tell_boxes(*told))
+
+    def order(
+        self,
+        context: contextvars.Context,
+        box: str,
+        endpoint: str,
+        carry_out: Callable[[], CallReply],
+    ) -> asyncio.Future[CallReply]:
+        """Deliver an order; another id answers at the address of a replaced endpoint."""
+
+        def carry_out_if_present() -> CallReply:
+            if endpoint in self.replaced:
+                return CallReply(CallOutcome.OTHER_LIFE)
+            return carry_out()
+
+        return super().order(context, box, endpoint, carry_out_if_present)
+
+    def poll(
+        self, context: contextvars.Context, box: str, endpoint: str, order: PollOrder
+    ) -> asyncio.Future[PollReply]:
+        """Deliver a poll; another id answers at the address of a replaced endpoint."""
+        if endpoint not in self.replaced or not self._can_receive(context, box, endpoint):
+            return super().poll(context, box, endpoint, order)
+        reply: asyncio.Future[PollReply] = self.loop.create_future()
+        answer = PollReply(CallOutcome.OTHER_LIFE)
+        self._deliver_reply(context, box, endpoint, reply, answer)
+        return reply
+
+    def _deliver_reply(
+        self,
+        context: contextvars.Context,
+        box: str,
+        endpoint: str,
+        reply: asyncio.Future[Any],
+        answer: object,
+    ) -> None:
+        """Deliver a reply; the connection to a replaced endpoint has ended."""
+        is_from_replaced = endpoint in self.replaced and isinstance(answer, CallReply | PollReply)
+        if is_from_replaced and answer.outcome is not CallOutcome.OTHER_LIFE:
+            answer = answer._replace(outcome=CallOutcome.UNKNOWN)
+        super()._deliver_reply(context, box, endpoint, reply, answer)
+
+    def start(self, name: str, order: StartOrder) -> CallReply:
+        """Carry out a start order."""
+        reply = super().start(name, order)
+        if order.run_id.task.job_id == JOB and reply.outcome is CallOutcome.DONE:
+            self._started.set()
+        return reply
+
+    # Scenarios.
+
+    async def pause_two_owners(self, *, knows_one: bool) -> None:
+        """Pause the owner and then the next one; the first one resumes and starts a run.
+
+        It hears of the zone's new endpoints. The next owner hears of one other endpoint, if
+        *knows_one*, until it has been back for a while.
+        """
+        first, second = self.boxes_in(ZONES[0])
+        self.pause_box(first, 0, 1.6, Waking.MESSAGES_FIRST)
+        await self._until_owner(second)
+        await asyncio.sleep(0.3)
+        *started_on, other = self.replace_endpoints(ZONES[0])
+        if knows_one:
+            self.tell_boxes([other], [second])
+        else:
+            started_on.append(other)
+        await asyncio.sleep(_POLLED_S)
+        self.pause_box(second, 0, 1.6, Waking.MESSAGES_FIRST)
+        await self._until_resumed(first)
+        assert self.boxes[first].elector.owner is not None
+        self.tell_boxes(started_on, [first])
+        await asyncio.sleep(_POLLED_S)
+        call = await self._begin_job(first)
+        await self._until_resumed(second)
+        self._note_unknown(second)
+        self.tell_late(started_on, [second], _TOLD_LATE_S)
+        if knows_one:
+            await self._submit_short_jobs(second)
+        await call
+
+    async def cut_owners(self) -> None:
+        """Cut off the owner, and the next one from the controllers, while endpoints restart.
+
+        Nothing is paused. The first owner hears of the new endpoints and starts a run for its own
+        box; the next one hears of them some time after the cuts have ended.
+        """
+        first, second = self.boxes_in(ZONES[0])
+        others = {CONTROLLER, *self.boxes} - {first}
+        self.conditions.cuts |= self._links_between(first, others)
+        records = self.replace_endpoints(ZONES[0])
+        self.tell_boxes(records, [first])
+        await self._until_owner(second)
+        self.conditions.cuts |= self._links_between(second, {CONTROLLER})
+        call = await self._begin_job(first)
+        self._note_unknown(second)
+        self.conditions.cuts.clear()
+        self.tell_late(records, [second], _TOLD_LATE_S)
+        await call
+
+    async def kill_owner(self, after_s: float) -> None:
+        """Kill the owner soon after a start on an endpoint of which it alone has heard.
+
+        The owner is killed *after_s* after its box has been told that the start was answered.
+        """
+        first, second = self.boxes_in(ZONES[0])
+        records = self.replace_endpoints(ZONES[0])
+        self.tell_boxes(records, [first])
+        await asyncio.sleep(_POLLS_ENDED_S)
+        call = await self._begin_job(second)
+        await asyncio.sleep(after_s)
+        self.kill_box(first)
+        await self._until_owner(second)
+        self._note_unknown(second)
+        self.tell_late(records, [second], _TOLD_LATE_S)
+        await call
+
+    async def _begin_job(self, box: str) -> asyncio.Task[None]:
+        """Submit the job at *box*; return its call once the box knows that its run has started."""
+        call = asyncio.create_task(self.call(box, JOB, 1, TASK_MS, NEVER_MS))
+        await self._started.wait()
+        await self.call(box, _NEXT_JOB, 1, _NEXT_TASK_MS, NEVER_MS)
+        return call
+
+    async def _submit_short_jobs(self, box: str) -> None:
+        """Submit short jobs at *box*, whose ends are reported at once by the endpoint polled."""
+        calls = []
+        for number in range(_SHORT_JOBS):
+            job_id = f"{number:016x}"
+            calls.append(asyncio.create_task(self.call(box, job_id, 1, _NEXT_TASK_MS, NEVER_MS)))
+            await asyncio.sleep(_TOLD_LATE_S / _SHORT_JOBS)
+        await asyncio.gather(*calls)
+
+    def _note_unknown(self, box: str) -> None:
+        """Record whether the owner on *box* has not heard of the endpoint of the first start."""
+        owner = self.boxes[box].elector.owner
+        assert owner is not None
+        self.unknown_at_handover = self.first_start.endpoint not in owner.state.candidates
+
+    def _links_between(self, box: str, others: set[str]) -> set[tuple[str, str]]:
+        return {(box, other) for other in others} | {(other, box) for other in others}
+
+    async def _until_owner(self, box: str) -> None:
+        while self.boxes[box].elector.owner is None:
+            await asyncio.sleep(_CHECK_S)
+
+    async def _until_resumed(self, box: str) -> None:
+        while self.is_paused(box):
+            await asyncio.sleep(_CHECK_S)
+
+
+def run_scenario(
+    seed: int, scenario: Callable[[UnknownEndpointsWorld], Coroutine[Any, Any, None]]
+) -> UnknownEndpointsWorld:
+    """Play *scenario* in settled zones, whose endpoints report births."""
+    return run_in_settled_zones(UnknownEndpointsWorld, seed, scenario, are_births_known=True)
