Conclude from reports only if they cover all endpoints of earlier owners

Cause: a new owner took a run of an earlier owner for lost once each endpoint of its service that it knows had reported without it. It may know none, which made the condition true at once, or not the one that has the run: its catalog is out of date after a pause, a partition from the controllers, or while a report is on its way. It counted as complete by the age of the process. The class: what is missing from a list is taken for absent, whether or not the list is complete.

Why it works: an owner announces its endpoints to each box, as a list with a revision, and starts a run on an endpoint only once each box that holds the run has acknowledged it. A box acknowledges its present owner only, and names the endpoints of earlier owners with its heartbeat acknowledgements until their runs have ended. So whatever the new owner's catalog holds, it knows which reports it needs; without them only time ends a run. Two boxes that hold a run are both heard: the later time and both lists count. Deregistered endpoints that never reuse their id are over.

Ruled out: an empty list proves nothing (the case with another endpoint stays); time alone (each failover would hold queued runs for 752 ms); a notice of each start (may be lost with the owner).

OwnerState.mark_catalog_complete is gone: its tests name the endpoints in its place and expect the same. The fake peers of test_owners_zone_owner acknowledge notices, without which no run starts now.

--- a/src/foldloom/seed_discovery/fleet/messages.py
+++ b/src/foldloom/seed_discovery/fleet/messages.py
@@ -174,6 +174,8 @@
         sent_ms: Its monotonic clock at sending, returned in the acknowledgement.
         published_version: The published configuration version in effect at the owner.
         load: The load of its zone.
+        announces_endpoints: Whether it announces endpoints to a box before it starts runs of the
+            box there; ``False`` from an earlier release.
     """
 
     owner: OwnerRecord
@@ -181,6 +183,7 @@
     sent_ms: int
     published_version: int = 0
     load: ZoneLoad = ZoneLoad()
+    announces_endpoints: bool = False
 
 
 class HeartbeatAck(NamedTuple):
@@ -193,12 +196,15 @@
         heartbeat_sent_ms: When the acknowledged heartbeat was sent, by the owner's clock.
         record: The box.
         published_version: The published configuration version in effect at the box.
+        earlier_endpoints: The endpoints on which earlier owners may have started runs of the box
+            that go on; ``None`` if they are not known.
     """
 
     token: int
     heartbeat_sent_ms: int
     record: BoxRecord
     published_version: int = 0
+    earlier_endpoints: tuple[str, ...] | None = None
 
 
 class HigherToken(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -274,7 +274,10 @@
                 self._handle_end(connection, end, token, moved)
         for target, orders in moved.items():
             self._tasks.spawn(self._redeliver_moved(target, orders))
-        return EndsNoted()
+        is_present_owner = connection is not None and connection.owner.token == message.token
+        if connection is not None and is_present_owner and message.announced is not None:
+            connection.note_announced(message.announced)
+        return EndsNoted(is_present_owner)
 
     def _handle_end(
         self,
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -22,10 +22,12 @@
     ZoneLoad,
 )
 from foldloom.seed_discovery.fleet.view import FleetView
+from foldloom.seed_discovery.owners.announced_endpoints import AnnouncedEndpoints
 from foldloom.seed_discovery.owners.batches import Batch
 from foldloom.seed_discovery.owners.grant import Grant
 from foldloom.seed_discovery.owners.messages import (
     EndpointBinding,
+    EndpointList,
     RunOrder,
     RunsEnded,
     StartOrdered,
@@ -84,6 +86,7 @@
         self._histories = histories
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
+        self._announced = AnnouncedEndpoints()
         self._batches: dict[str, list[Batch]] = {}
         # Of runs that this box has cancelled, and of runs that only the owner's box has delivered.
         self._cancelled_starts = StartsInFlight()
@@ -113,10 +116,17 @@
         old_right_ms = self._grant.session_left_ms(now_ms)
         if is_new:
             self._bind_starts_in_flight()
+            if self._owner.token:
+                self._announced.end_owner(now_ms, self._grant.lapses_ms)
+            self._announced.begin_owner(heartbeat.announces_endpoints)
         self._owner = heartbeat.owner
         self.load = heartbeat.load
         ack = HeartbeatAck(
-            heartbeat.owner.token, heartbeat.sent_ms, self._view.own, published_version
+            heartbeat.owner.token,
+            heartbeat.sent_ms,
+            self._view.own,
+            published_version,
+            self._announced.of_earlier_owners(now_ms),
         )
         self._network.send(heartbeat.owner.box, ack)
         self._grant.renew(now_ms)
@@ -132,6 +142,10 @@
         """Return the open batches of one job in this zone."""
         return [batch for batch in self.batches_by_id(job.job_id) if batch.job is job]
 
+    def note_announced(self, announced: EndpointList) -> None:
+        """Record the endpoints on which the present owner starts runs."""
+        self._announced.note(announced)
+
     def note_start(self, start: StartOrdered, token: int) -> None:
         """Record a start order of the owner with *token* for one of this box's runs."""
         if token < self._owner.token:
--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -71,10 +71,19 @@
         self._gone_after_ms = run_expiry_ms
         self._cancels: dict[tuple[HolderId, str], _Cancel] = {}
 
-    def deliver(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> None:
-        """Accept the runs of *message* for *holder*."""
+    def deliver(
+        self,
+        holder: HolderId,
+        message: SubmitRuns,
+        now_ms: float,
+        earlier_endpoints: frozenset[str] | None,
+    ) -> None:
+        """Accept the runs of *message* for *holder*.
+
+        Earlier owners may have started them on *earlier_endpoints*; ``None`` if not known.
+        """
         spec = _run_spec(message, now_ms)
-        bound = recovery_bound(now_ms, message.old_right_ms, self._gone_after_ms)
+        bound = recovery_bound(now_ms, message.old_right_ms, self._gone_after_ms, earlier_endpoints)
         for order in message.orders:
             task = TaskId(message.job_id, message.repeat, order.step, order.position)
             self._stealing.release_reservation(group_of(task))
@@ -133,6 +142,8 @@
         known = self._lifecycle.get(task)
         if known is not None:
             known.holders[holder] = max(order.delivery, known.holders.get(holder, 0))
+            if order.is_resumed:
+                known.recovery_bound = known.recovery_bound.joined(bound)
             return
         tombstone = self._lifecycle.tombstones.get(task)
         if tombstone is not None and tombstone.is_duplicate(holder, order.delivery):
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from foldloom.clock import monotonic_ms
 from foldloom.logs import ENDPOINT_LOG
@@ -54,6 +55,11 @@
         self._links: dict[str, EndpointLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
+    @property
+    def endpoints(self) -> Iterable[str]:
+        """The endpoints that have a link, in the order of discovery."""
+        return self._links
+
     def get(self, endpoint: str) -> EndpointLink | None:
         """Return the link to *endpoint*, if there is one."""
         return self._links.get(endpoint)
--- a/src/foldloom/seed_discovery/owners/grant.py
+++ b/src/foldloom/seed_discovery/owners/grant.py
@@ -40,6 +40,11 @@
         """Number of the current grant; increases by one with each expiry."""
         return self._number
 
+    @property
+    def lapses_ms(self) -> float:
+        """When all runs that the owner started for this box have ended, without a heartbeat."""
+        return self._heartbeat_ms + self._grant_timeout_ms
+
     def session_left_ms(self, now_ms: float) -> float:
         """Return how much longer the owner may start runs of this box, in milliseconds."""
         return max(0.0, self._session_ms - self.silent_ms(now_ms))
--- a/src/foldloom/seed_discovery/owners/heartbeats.py
+++ b/src/foldloom/seed_discovery/owners/heartbeats.py
@@ -50,6 +50,7 @@
                 int(monotonic_ms()),
                 self._context.published_version(),
                 self._load(),
+                announces_endpoints=True,
             )
             for box in self._recipients():
                 self._context.network.send(box, heartbeat, timings.owner_silent_ms)
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -221,6 +221,13 @@
     is_answered: bool = False
 
 
+class EndpointList(NamedTuple):
+    """The endpoints on which an owner starts runs; replaces lists with lower revisions."""
+
+    revision: int = 0
+    endpoints: tuple[str, ...] = ()
+
+
 class RunsEnded(NamedTuple):
     """Ends of runs and reports on tasks, from an owner to a box; retransmitted until acknowledged.
 
@@ -235,6 +242,8 @@
         starts: Start orders for runs that the box has delivered.
         owner_starts: Start orders for runs that only the owner's own box has delivered; sent to the
             box that acquires the zone if both are lost.
+        announced: The endpoints on which the owner starts runs, if that list has changed. Until it
+            is acknowledged, no run of the box starts on an added endpoint.
     """
 
     zone: str
@@ -244,10 +253,18 @@
     bindings: tuple[EndpointBinding, ...] = ()
     starts: tuple[StartOrdered, ...] = ()
     owner_starts: tuple[StartOrdered, ...] = ()
+    announced: EndpointList | None = None
 
 
 class EndsNoted(NamedTuple):
-    """Acknowledges :class:`RunsEnded`."""
+    """Acknowledges :class:`RunsEnded`.
+
+    Args:
+        is_present_owner: Whether the box follows the sender. If not, it has ignored the announced
+            endpoints, since it has told the next owner of those that it knew.
+    """
+
+    is_present_owner: bool = True
 
 
 class SessionBegan(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -118,6 +118,14 @@
             )
             on_failure()
             return
+        if not self._is_announced(action):
+            # Placed again when the box acknowledges the announcement.
+            outcome = CallOutcome.NOT_SENT
+            self._log_refusal(action, CallReply(outcome, detail="the endpoint is not announced"))
+            self._state.handle_start_outcome(
+                action.run_id, action.endpoint, outcome, monotonic_ms()
+            )
+            return
         now_ms = monotonic_ms()
         may_start = link is self._links.get(action.endpoint) and self._may_start(action, now_ms)
         until_ms = 0 if link is None or not may_start else link.order_until(now_ms)
@@ -206,6 +214,16 @@
         if present is not None and present is not link:
             present.note_stale_order(now_ms + UNANSWERED_ORDER_TTL_MS)
 
+    def _is_announced(self, action: StartAction) -> bool:
+        """Return whether the run's boxes know that it may be on its endpoint.
+
+        They tell the next owner, which may not know the endpoint otherwise.
+        """
+        run = self._state.current_run(action.run_id.task)
+        if run is None:
+            return True
+        return all(self._sessions.has_announced(holder, action.endpoint) for holder in run.holders)
+
     def _may_start(self, action: StartAction, now_ms: float) -> bool:
         """Return whether the run is still to be started for a holder with a valid session.
 
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -10,13 +10,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.peers.wire import PeerNetwork
 from foldloom.seed_discovery.owners.messages import (
     EndpointBinding,
+    EndpointList,
+    EndsNoted,
     RunEnd,
     RunsEnded,
     SessionBegan,
@@ -32,6 +34,10 @@
 _NOTICES_PER_MESSAGE_MAX = 200
 
 
+def _ignore() -> None:
+    """Ignore an acknowledged announcement."""
+
+
 class OwnerStart(NamedTuple):
     """A start order for a run that only the owner's own box has delivered."""
 
@@ -51,6 +57,8 @@
         token: The owner's token.
         network: Connections to the other boxes.
         is_renewed_session: Whether an earlier session with the same incarnation has expired.
+        earlier_endpoints: The endpoints on which earlier owners may have started runs of the box.
+        on_announced: Called when the box has acknowledged announced endpoints.
     """
 
     def __init__(
@@ -60,9 +68,15 @@
         token: int,
         network: PeerNetwork,
         is_renewed_session: bool,
+        earlier_endpoints: frozenset[str] | None,
+        on_announced: Callable[[], None],
     ) -> None:
         self.holder = holder
         self.expires_ms = 0.0
+        self.earlier_endpoints = earlier_endpoints
+        self.announced_revision = 0
+        self._on_announced = on_announced
+        self._to_announce: EndpointList | None = None
         self._zone = zone
         self._token = token
         self._network = network
@@ -79,6 +93,11 @@
         if _is_urgent(notice):
             self._has_notices.set()
 
+    def announce(self, endpoints: EndpointList) -> None:
+        """Announce the endpoints on which the owner starts runs."""
+        self._to_announce = endpoints
+        self._has_notices.set()
+
     async def run(self) -> None:
         """Send queued notices with retransmission, after announcing a renewed session."""
         while self._must_announce:
@@ -92,6 +111,7 @@
         while True:
             await self._has_notices.wait()
             notices = self._notices[:_NOTICES_PER_MESSAGE_MAX]
+            announced = self._to_announce
             message = RunsEnded(
                 self._zone,
                 [notice for notice in notices if isinstance(notice, RunEnd)],
@@ -100,16 +120,29 @@
                 tuple(notice for notice in notices if isinstance(notice, EndpointBinding)),
                 tuple(notice for notice in notices if isinstance(notice, StartOrdered)),
                 tuple(notice.start for notice in notices if isinstance(notice, OwnerStart)),
+                announced,
             )
             try:
-                await self._network.request(self.holder.box, message, _ACK_TIMEOUT_MS)
+                reply: EndsNoted = await self._network.request(
+                    self.holder.box, message, _ACK_TIMEOUT_MS
+                )
             except PeerUnreachableError:
                 # Retransmit, together with notices queued in the meantime.
                 continue
             del self._notices[: len(notices)]
-            if not any(map(_is_urgent, self._notices)):
+            if announced is not None:
+                self._note_announced(announced, reply)
+            if self._to_announce is None and not any(map(_is_urgent, self._notices)):
                 self._has_notices.clear()
 
+    def _note_announced(self, announced: EndpointList, reply: EndsNoted) -> None:
+        """Record that the box has acknowledged *announced*, unless it follows another owner."""
+        if self._to_announce is announced:
+            self._to_announce = None
+        if reply.is_present_owner:
+            self.announced_revision = announced.revision
+            self._on_announced()
+
 
 def _is_urgent(notice: Notice) -> bool:
     """Return whether *notice* is sent at once; an answered start waits for the next message."""
@@ -132,13 +165,25 @@
         token: The owner's token.
         network: Connections to the other boxes.
         session_ms: Session time from the sending of an acknowledged heartbeat.
+        on_announced: Called when a box has acknowledged announced endpoints.
     """
 
-    def __init__(self, zone: str, token: int, network: PeerNetwork, session_ms: float) -> None:
+    def __init__(
+        self,
+        zone: str,
+        token: int,
+        network: PeerNetwork,
+        session_ms: float,
+        on_announced: Callable[[], None] = _ignore,
+    ) -> None:
         self._zone = zone
         self._token = token
         self._network = network
         self._session_ms = session_ms
+        self._on_announced = on_announced
+        self._announced = EndpointList()
+        # The revision with which each endpoint was added to the list.
+        self._revisions: dict[str, int] = {}
         self._sessions: dict[HolderId, Session] = {}
         self._tasks: dict[HolderId, asyncio.Task[None]] = {}
         self._expired: set[HolderId] = set()
@@ -166,21 +211,70 @@
             for known, session in self._sessions.items()
         )
 
-    def grant(self, holder: HolderId, heartbeat_sent_ms: float) -> bool:
+    def grant(
+        self,
+        holder: HolderId,
+        heartbeat_sent_ms: float,
+        earlier_endpoints: frozenset[str] | None = None,
+    ) -> bool:
         """Begin or renew the session for the heartbeat sent at *heartbeat_sent_ms*.
 
         Return whether it begins, so that the box has received none of this term's reports.
+
+        Args:
+            holder: The box incarnation that has acknowledged the heartbeat.
+            heartbeat_sent_ms: When it was sent; own monotonic clock.
+            earlier_endpoints: The endpoints on which earlier owners may have started runs of the
+                box; ``None`` if they are not known.
         """
         session = self._sessions.get(holder)
         is_new = session is None
         if session is None:
             is_renewed_session = holder in self._expired
-            session = Session(holder, self._zone, self._token, self._network, is_renewed_session)
+            session = Session(
+                holder,
+                self._zone,
+                self._token,
+                self._network,
+                is_renewed_session,
+                earlier_endpoints,
+                self._on_announced,
+            )
             self._sessions[holder] = session
+            if self._announced.endpoints:
+                session.announce(self._announced)
             self._tasks[holder] = asyncio.create_task(session.run())
         session.expires_ms = max(session.expires_ms, heartbeat_sent_ms + self._session_ms)
         return is_new
 
+    def earlier_endpoints(self, holder: HolderId) -> frozenset[str] | None:
+        """Return the endpoints on which earlier owners may have started runs of *holder*.
+
+        ``None`` if they are not known.
+        """
+        session = self._sessions.get(holder)
+        return None if session is None else session.earlier_endpoints
+
+    def announce_endpoints(self, endpoints: Iterable[str]) -> None:
+        """Announce to all boxes the endpoints on which the owner starts runs."""
+        names = tuple(endpoints)
+        if names == self._announced.endpoints:
+            return
+        self._announced = EndpointList(self._announced.revision + 1, names)
+        self._revisions = {
+            name: self._revisions.get(name, self._announced.revision) for name in names
+        }
+        for session in self._sessions.values():
+            session.announce(self._announced)
+
+    def has_announced(self, holder: HolderId, endpoint: str) -> bool:
+        """Return whether *holder* has acknowledged the announcement of *endpoint*."""
+        session = self._sessions.get(holder)
+        revision = self._revisions.get(endpoint)
+        if session is None or revision is None:
+            return False
+        return session.announced_revision >= revision
+
     def holder_of(self, box: str, now_ms: float) -> HolderId | None:
         """Return the incarnation of *box* whose session is valid, if any."""
         for holder in self._sessions:
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -48,6 +48,11 @@
 OFFERED_GROUPS_MAX = 8
 
 
+def _never(_endpoint: str) -> bool:
+    """Return ``False``: the endpoint is not known to have ended."""
+    return False
+
+
 class OwnerState:
     """The runs and endpoints of one zone during one term of its owner.
 
@@ -56,6 +61,7 @@
         all_endpoints: Returns the endpoint records of all zones; empty while the catalog may be
             incomplete.
         overload: The rejection of new jobs while this box is late.
+        has_ended: Returns whether an endpoint that is not a candidate has certainly ended.
     """
 
     def __init__(
@@ -63,8 +69,9 @@
         run_expiry_ms: float,
         all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
         overload: OverloadControl | None = None,
+        has_ended: Callable[[str], bool] = _never,
     ) -> None:
-        self._is_catalog_complete = False
+        self._has_ended = has_ended
         self._candidates: dict[str, ZoneEndpoint] = {}
         self._last_polled_ms: dict[str, float] = {}
         self.actions = Actions()
@@ -117,8 +124,22 @@
 
     # Requests from entry boxes.
 
-    def submit(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> SubmitReply:
-        """Queue the runs of *message* for *holder*, or refuse them."""
+    def submit(
+        self,
+        holder: HolderId,
+        message: SubmitRuns,
+        now_ms: float,
+        earlier_endpoints: frozenset[str] | None = None,
+    ) -> SubmitReply:
+        """Queue the runs of *message* for *holder*, or refuse them.
+
+        Args:
+            holder: The box incarnation that delivers.
+            message: The delivery.
+            now_ms: Own monotonic clock.
+            earlier_endpoints: The endpoints on which earlier owners may have started these runs;
+                ``None`` if they are not known.
+        """
         if self._deliveries.was_cancelled(holder, message, now_ms):
             return SubmitReply(SubmitStatus.REFUSED, "cancelled")
         rejection = self._reject_new_job(message)
@@ -129,7 +150,7 @@
             self.adopt(binding, now_ms)
             # The order of another owner may be executed, whatever becomes of these runs.
             self._lifecycle.started.note(message.job_id, now_ms + message.deadline_ms)
-        self._deliveries.deliver(holder, message, now_ms)
+        self._deliveries.deliver(holder, message, now_ms, earlier_endpoints)
         end_runs_over_crash_limit(self._lifecycle, message, now_ms)
         reply = self._admission.decide(message, now_ms)
         if reply.status is SubmitStatus.REFUSED:
@@ -208,10 +229,6 @@
 
     # Endpoints.
 
-    def mark_catalog_complete(self) -> None:
-        """Mark the catalog complete: it holds every endpoint that an earlier owner used."""
-        self._is_catalog_complete = True
-
     def update_endpoint(self, record: EndpointRecord) -> None:
         """Add an endpoint, or update its record."""
         known = self._candidates.get(record.endpoint)
@@ -359,7 +376,7 @@
             self._lifecycle,
             self._candidates,
             self._last_polled_ms,
-            self._is_catalog_complete,
+            self._has_ended,
             now_ms,
         )
         for endpoint, run_id in orphans_to_stop(self._candidates, now_ms):
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -16,13 +16,14 @@
 from foldloom.clock import monotonic_ms
 from foldloom.logs import ENDPOINT_LOG
 from foldloom.seed_discovery.endpoints.calls import EndpointReport
-from foldloom.seed_discovery.endpoints.records import EndpointRecord
+from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.fleet.messages import (
     HeartbeatAck,
     OwnerHeartbeat,
     OwnerRecord,
     ZoneLoad,
 )
+from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.owners.context import OwnerContext
 from foldloom.seed_discovery.owners.decision_log import log_cancel, log_delivery, log_end
 from foldloom.seed_discovery.owners.endpoint_link import LeaseDurations
@@ -81,9 +82,18 @@
         self._metrics = context.metrics
         self._on_fenced = on_fenced
         self._state = OwnerState(
-            run_expiry_ms(timings.endpoint_lease_ms), self._all_endpoints, context.overload
+            run_expiry_ms(timings.endpoint_lease_ms),
+            self._all_endpoints,
+            context.overload,
+            self._has_ended,
+        )
+        self._sessions = Sessions(
+            record.zone,
+            record.token,
+            context.network,
+            timings.session_ms,
+            self._execute_actions,
         )
-        self._sessions = Sessions(record.zone, record.token, context.network, timings.session_ms)
         lease_ms = float(timings.endpoint_lease_ms)
         lease_durations = LeaseDurations(
             record.token,
@@ -159,7 +169,10 @@
             return SubmitReply(SubmitStatus.NOT_OWNER, "another token")
         if not self._sessions.has_session(holder, now_ms):
             return SubmitReply(SubmitStatus.NOT_OWNER, "no session")
-        reply = self._state.submit(holder, message, now_ms)
+        if not self._has_announced_runs(holder, message):
+            return SubmitReply(SubmitStatus.NOT_OWNER, "endpoints not announced")
+        earlier_endpoints = self._sessions.earlier_endpoints(holder)
+        reply = self._state.submit(holder, message, now_ms, earlier_endpoints)
         self._orders.notify_holders_of_job(message.job_id)
         log_delivery(self._record, sender, message, reply, self.load)
         self._execute_actions()
@@ -188,7 +201,7 @@
         """
         if self._is_closed:
             return
-        self._links.sync_with_catalog(monotonic_ms())
+        self._sync_with_catalog(monotonic_ms())
         await self._orders.wait_for_starts(endpoints)
 
     def handle_offer(self, message: WaitingGroups) -> None:
@@ -222,7 +235,9 @@
         now_ms = monotonic_ms()
         for earlier in self._sessions.end_other_incarnations(holder):
             self._state.end_session(earlier, now_ms)
-        if self._sessions.grant(holder, ack.heartbeat_sent_ms):
+        names = ack.earlier_endpoints
+        earlier_endpoints = None if names is None else frozenset(names)
+        if self._sessions.grant(holder, ack.heartbeat_sent_ms, earlier_endpoints):
             for report in self._state.task_reports:
                 self._sessions.queue_report(holder, report)
 
@@ -301,9 +316,7 @@
     async def _tick(self) -> None:
         while True:
             now_ms = monotonic_ms()
-            if self._context.catalog_age_ms() > _CATALOG_COMPLETE_AFTER_MS:
-                self._state.mark_catalog_complete()
-            self._links.sync_with_catalog(now_ms)
+            self._sync_with_catalog(now_ms)
             self._end_expired_sessions(now_ms)
             self._orders.choose_successor(now_ms)
             self._adopt_bindings(now_ms)
@@ -318,6 +331,34 @@
             self._update_queue_metrics(now_ms)
             await asyncio.sleep(_TICK_S)
 
+    def _has_announced_runs(self, holder: HolderId, message: SubmitRuns) -> bool:
+        """Return whether *holder* knows the endpoints of the runs of *message* that go on here."""
+        runs = (
+            self._state.current_run(
+                TaskId(message.job_id, message.repeat, order.step, order.position)
+            )
+            for order in message.orders
+        )
+        return all(
+            self._sessions.has_announced(holder, run.endpoint)
+            for run in runs
+            if run is not None and run.endpoint
+        )
+
+    def _sync_with_catalog(self, now_ms: float) -> None:
+        """Open and close links to endpoints, and announce the endpoints to all boxes."""
+        self._links.sync_with_catalog(now_ms)
+        self._sessions.announce_endpoints(self._links.endpoints)
+
+    def _has_ended(self, endpoint: str) -> bool:
+        """Return whether *endpoint*, to which there is no link, has certainly ended.
+
+        A deregistration may be a delayed one of an earlier incarnation, unless the endpoint never
+        uses its id again.
+        """
+        record = self._context.catalog.get(endpoint)
+        return record is not None and record.state is EndpointState.GONE and not record.born_ms
+
     def _adopt_bindings(self, now_ms: float) -> None:
         """Adopt what this box knows of earlier owners' orders, and report it to all boxes."""
         for binding in self._context.bindings_from_others(self._record.zone, self.token):
--- a/src/foldloom/seed_discovery/scheduling/runs.py
+++ b/src/foldloom/seed_discovery/scheduling/runs.py
@@ -132,7 +132,21 @@
     Args:
         reports_after_ms: A run that exists is listed in every report polled after this time.
         lost_at_ms: By this time its lease has expired on every endpoint.
+        endpoints: The endpoints on which earlier owners may have started it; ``None`` if they are
+            not known.
     """
 
     reports_after_ms: float
     lost_at_ms: float
+    endpoints: frozenset[str] | None = frozenset()
+
+    def joined(self, other: RecoveryBound) -> RecoveryBound:
+        """Return the bound that covers the statements of two boxes."""
+        endpoints = None
+        if self.endpoints is not None and other.endpoints is not None:
+            endpoints = self.endpoints | other.endpoints
+        return RecoveryBound(
+            max(self.reports_after_ms, other.reports_after_ms),
+            max(self.lost_at_ms, other.lost_at_ms),
+            endpoints,
+        )
--- a/tests/test_owners_machine.py
+++ b/tests/test_owners_machine.py
@@ -53,7 +53,6 @@
     def __init__(self, token: int, now_ms: float) -> None:
         self.token = token
         self.state = OwnerState(run_expiry_ms(_LEASE_MS))
-        self.state.mark_catalog_complete()
         self.clocks = {name: EndpointClock() for name in _ENDPOINTS}
         self.heard_ms = dict.fromkeys(_ENDPOINTS, now_ms)
         self.seen = dict.fromkeys(_ENDPOINTS, 0)
@@ -167,7 +166,7 @@
                 continue
             orders = [RunOrder(0, 0, self.open[task], True)]
             message = submission(job_id=job, old_right_ms=int(right_ms) + 1, orders=orders)
-            self.term.state.submit(holder, message, self.now)
+            self.term.state.submit(holder, message, self.now, frozenset(_ENDPOINTS))
 
     @precondition(lambda self: self.old is not None)
     @rule(name=_endpoints, hears_stops=st.booleans())
--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -626,10 +626,9 @@
     def test_end_of_an_earlier_run_is_not_the_end(self) -> None:
         """The end of an earlier attempt does not allow a new start while a later one may run."""
         state = OwnerState(_GONE_AFTER_MS)
-        state.mark_catalog_complete()
         state.update_endpoint(endpoint("w1"))
         state.update_endpoint(endpoint("w2"))
-        state.submit(_E1, submission(is_resumed=True), 1.0)
+        state.submit(_E1, submission(is_resumed=True), 1.0, frozenset({"w1", "w2"}))
         state.report(
             EndpointReport("w2", (), (EndedRun(4, RunId(_TASK, 2), EndKind.STOPPED),), 2.0), 3.0
         )
@@ -668,8 +667,8 @@
     def test_looked_everywhere_is_lost_at_once(self) -> None:
         """A run is lost once all endpoints were polled after the earlier grant ended."""
         state = owner_with(endpoint("w1"), endpoint("w2"))
-        state.mark_catalog_complete()
-        state.submit(_E1, submission(is_resumed=True, old_right_ms=100), 1_000.0)
+        message = submission(is_resumed=True, old_right_ms=100)
+        state.submit(_E1, message, 1_000.0, frozenset({"w1", "w2"}))
         state.report(EndpointReport("w1", (), (), 1_101.0), 1_102.0)
         state.report(EndpointReport("w2", (), (), 1_050.0), 1_101.0)
         state.tick(1_110.0)
--- a/tests/test_owners_zone_owner.py
+++ b/tests/test_owners_zone_owner.py
@@ -16,7 +16,13 @@
 from foldloom.seed_discovery.fleet.view import FleetView
 from foldloom.seed_discovery.jobs.spec import Demand, Placement
 from foldloom.seed_discovery.owners.context import OwnerContext
-from foldloom.seed_discovery.owners.messages import Objective, RunOrder, SubmitRuns
+from foldloom.seed_discovery.owners.messages import (
+    EndsNoted,
+    Objective,
+    RunOrder,
+    RunsEnded,
+    SubmitRuns,
+)
 from foldloom.seed_discovery.owners.zone_owner import ZoneOwner
 from foldloom.seed_discovery.scheduling.runs import HolderId
 from foldloom.settings import ENTRY, TimingSettings
@@ -29,7 +35,7 @@
 
 
 class _Network:
-    """Fake peers that never answer."""
+    """Fake peers that acknowledge notices and answer nothing else."""
 
     def __init__(self) -> None:
         self.incarnation = 1
@@ -38,9 +44,11 @@
         """Return the configured incarnation."""
         return self.incarnation
 
-    async def request(self, _box: str, _message: Any, _timeout_ms: float) -> Any:
-        """Wait until cancelled."""
-        await asyncio.Event().wait()
+    async def request(self, _box: str, message: Any, _timeout_ms: float) -> Any:
+        """Acknowledge a notice; wait until cancelled otherwise."""
+        if isinstance(message, RunsEnded):
+            return EndsNoted()
+        return await asyncio.Event().wait()
 
 
 def _record(number: int) -> BoxRecord:
