Tell an owner of its successor from other zones too

A resumed owner asks the boxes of its zone and the controllers whether another box owns the zone. If the successor is the zone's only other box and paused, and no controller can be reached, nobody answers, and the owner continues against its successor. Boxes of other zones have heard the successor's heartbeats, but dropped those of the earlier owner silently.

They now answer a heartbeat with a lower token than they know with HigherToken, as boxes of the own zone do. Nothing is sent in a sound system.

What it costs: the zone serves nothing while its present owner is paused, and a job that was delivered during the queries waits until the grant has expired, as for any lost owner.

--- a/src/foldloom/seed_discovery/owners/elector.py
+++ b/src/foldloom/seed_discovery/owners/elector.py
@@ -302,7 +302,7 @@
         """Handle a heartbeat from any zone; notify an outdated owner of the higher token."""
         self._view.note_box(heartbeat.record, monotonic_ms())
         if heartbeat.owner.zone != self._zone:
-            self._handle_other_zone(heartbeat)
+            self._handle_other_zone(sender, heartbeat)
             return
         if heartbeat.owner.token < self._known.token and self._known.box:
             self._network.send(sender, HigherToken(self._known))
@@ -321,8 +321,11 @@
         self._view.note_owner(heartbeat.owner)
         self._on_heartbeat(heartbeat)
 
-    def _handle_other_zone(self, heartbeat: OwnerHeartbeat) -> None:
-        if heartbeat.owner.token < self._view.owner_of(heartbeat.owner.zone).token:
+    def _handle_other_zone(self, sender: str, heartbeat: OwnerHeartbeat) -> None:
+        known = self._view.owner_of(heartbeat.owner.zone)
+        if heartbeat.owner.token < known.token:
+            # The boxes of its own zone that know the later owner may all be paused.
+            self._network.send(sender, HigherToken(known))
             return
         self._view.note_owner(heartbeat.owner)
         if self._owner is not None:
--- a/tests/test_owners_elector.py
+++ b/tests/test_owners_elector.py
@@ -11,6 +11,7 @@
 from foldloom.exceptions import PeerUnreachableError
 from foldloom.seed_discovery.fleet.messages import (
     BoxRecord,
+    HigherToken,
     JoinReply,
     OwnerAnswer,
     OwnerHeartbeat,
@@ -56,6 +57,7 @@
 
     def __init__(self, silent: set[str], silent_ms: int) -> None:
         self.timeouts_ms: dict[str, float] = {}
+        self.sent: list[tuple[str, Any]] = []
         self.owner = OwnerRecord(_ZONE, 5)
         self.silent_ms = silent_ms
         self._silent = silent
@@ -67,8 +69,9 @@
     def on(self, _kind: type, _handler: Callable[..., Any]) -> None:
         """Ignore handlers."""
 
-    def send(self, _box: str, _message: Any, _ttl_ms: float = 0) -> None:
-        """Drop a message."""
+    def send(self, box: str, message: Any, _ttl_ms: float = 0) -> None:
+        """Record a message."""
+        self.sent.append((box, message))
 
     async def request(self, box: str, _message: OwnerQuery, timeout_ms: float) -> OwnerAnswer:
         """Answer with the time since the owner's newest heartbeat."""
@@ -253,3 +256,31 @@
             assert owner.is_valid
 
         _run(play())
+
+
+class TestOwnerOfAnotherZone:
+    """This box hears two owners of another zone."""
+
+    _OTHER_ZONE = "y"
+
+    def _hear(self, rig: _Rig, number: int, token: int) -> OwnerRecord:
+        """Handle a heartbeat of the other zone's owner on box *number*; return the owner."""
+        box = _record(number)._replace(zone=self._OTHER_ZONE)
+        owner = OwnerRecord(self._OTHER_ZONE, token, box.box, 1)
+        rig.elector.handle_heartbeat(box.box, OwnerHeartbeat(owner, box, 0, 0, ZoneLoad()))
+        return owner
+
+    def test_lower_token_is_answered(self) -> None:
+        """The owner with the lower token is notified, since no box of its zone may be there to."""
+        rig = _Rig(set(), 0)
+        later = self._hear(rig, 5, 8)
+        earlier = self._hear(rig, 4, 7)
+        assert rig.network.sent == [(earlier.box, HigherToken(later))]
+        assert rig.view.owner_of(self._OTHER_ZONE) == later
+
+    def test_others_are_not(self) -> None:
+        """The present owner and its successor get no answer."""
+        rig = _Rig(set(), 0)
+        for number, token in ((4, 7), (4, 7), (5, 8)):
+            self._hear(rig, number, token)
+        assert rig.network.sent == []
--- a/tests/test_owners_resumed.py
+++ b/tests/test_owners_resumed.py
@@ -14,7 +14,7 @@
 from models.resumed_owners import JOB, TASK_MS, ResumedOwnerWorld
 from models.settled_zones import NEVER_MS, run_in_settled_zones
 from models.virtual_time import Waking
-from models.zones_world import ZONES, Answer
+from models.zones_world import CONTROLLER, ZONES, Answer
 
 _SEEDS = range(3)
 # Longer than a session, and than the silence after which another box acquires the zone.
@@ -31,6 +31,10 @@
     await world.pause_both(waking, 0.05)
 
 
+async def _pause_both_with_cuts(world: ResumedOwnerWorld, waking: Waking) -> None:
+    await world.pause_both(waking, 0.05, frozenset({CONTROLLER}))
+
+
 async def _submit_to_both(world: ResumedOwnerWorld, waking: Waking) -> None:
     await world.submit_to_both(waking, 0.05)
 
@@ -114,6 +118,22 @@
         assert world.doubled == []
         assert all(answer.is_completed for answer in world.answers)
 
+    def test_box_of_another_zone_knows(self, seed: int, waking: Waking) -> None:
+        """The same if no controller can be reached: boxes of other zones know the successor."""
+        world = run_in_settled_zones(
+            ResumedOwnerWorld,
+            seed,
+            partial(_pause_both_with_cuts, waking=waking),
+            are_births_known=True,
+        )
+        assert world.outdated_orders == []
+        assert world.doubled == []
+        # A job that was delivered during the queries waits until the box's grant has expired.
+        asked_until_ms = world.resumed_s * 1_000 + _QUERY_TIMEOUT_MS
+        assert all(
+            answer.is_completed for answer in world.answers if answer.sent_ms > asked_until_ms
+        )
+
 
 @pytest.mark.parametrize("waking", list(Waking))
 @pytest.mark.parametrize("seed", _SEEDS)
