--- a/tests/models/unknown_endpoints.py
+++ b/tests/models/unknown_endpoints.py
@@ -1,34 +1,21 @@
 # SPDX-License-Identifier: MIT
-"""Simulated zones whose endpoints restart under new ids, of which not all boxes hear in time.
-
-A new endpoint has seen no fencing token. Its record is told to chosen boxes only, or late.
-"""
+"""Simulated zones in which not all boxes hear in time of endpoints that restart under new ids."""
 
 from __future__ import annotations
 
 import asyncio
-import contextvars
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
-from foldloom.clock import monotonic_ms
-from foldloom.seed_discovery.endpoints.calls import (
-    CallOutcome,
-    CallReply,
-    PollOrder,
-    PollReply,
-    StartOrder,
-)
-from foldloom.seed_discovery.endpoints.records import EndpointRecord
-from models.endpoint_world import SimulatedEndpoint
-from models.settled_zones import NEVER_MS, SettledZonesWorld, run_in_settled_zones
+from foldloom.seed_discovery.endpoints.calls import CallOutcome, CallReply, StartOrder
+from models.replaced_endpoints import ReplacedEndpointsWorld
+from models.settled_zones import NEVER_MS, run_in_settled_zones
 from models.virtual_time import PausableLoop, Waking
 from models.zones_world import CONTROLLER, ZONES, Start
 
 JOB = "c" * 16
 # Longer than a session and a lease together, so that only a lapse or a stop ends the run early.
 TASK_MS = 1_500.0
-_CLOCK_RATE = 0.98
 _CHECK_S = 0.005
 # Until a box that has heard of new endpoints has polled them.
 _POLLED_S = 0.1
@@ -44,7 +31,7 @@
 _SHORT_JOBS = 35
 
 
-class UnknownEndpointsWorld(SettledZonesWorld):
+class UnknownEndpointsWorld(ReplacedEndpointsWorld):
     """Zones in which a run starts on an endpoint of which the zone's next owner has not heard.
 
     ``unknown_at_handover`` tells whether the next owner has not heard of the endpoint when it can
@@ -53,9 +40,7 @@
 
     def __init__(self, seed: int, loop: PausableLoop) -> None:
         super().__init__(seed, loop)
-        self.replaced: set[str] = set()
         self.unknown_at_handover = False
-        self._replaced_count = 0
         self._started = asyncio.Event()
 
     @property
@@ -63,83 +48,6 @@
         """The first start of the job's task."""
         return self.starts[JOB][0]
 
-    # Endpoints that restart under new ids.
-
-    def replace_endpoint(self, name: str) -> EndpointRecord:
-        """Restart an endpoint under a new id; return its record, of which no box has heard."""
-        previous = next(record for record in self.records if record.endpoint == name)
-        self.replaced.add(name)
-        self.endpoints[name].active.clear()
-        self._replaced_count += 1
-        successor = f"{name}-r{self._replaced_count}"
-        self.births[successor] = int(monotonic_ms())
-        self.endpoints[successor] = SimulatedEndpoint(successor, _CLOCK_RATE, monotonic_ms())
-        record = previous._replace(endpoint=successor, sequence=1, born_ms=self.births[successor])
-        # Boxes that start later hear of it when they join a controller.
-        self.records = [record if known == previous else known for known in self.records]
-        return record
-
-    def replace_endpoints(self, zone: str) -> list[EndpointRecord]:
-        """Restart all endpoints of *zone* under new ids; return their records."""
-        names = [record.endpoint for record in self.records if record.zone == zone]
-        return [self.replace_endpoint(name) for name in names]
-
-    def tell_boxes(self, records: Iterable[EndpointRecord], boxes: Iterable[str]) -> None:
-        """Have a controller forward *records* to *boxes* only."""
-        boxes = list(boxes)
-        for record in records:
-            for box in boxes:
-                merge = self.boxes[box].merge_record
-                self.turns.deliver(self.context_of(box), merge, record)
-
-    def tell_late(
-        self, records: Iterable[EndpointRecord], boxes: Iterable[str], after_s: float
-    ) -> None:
-        """Have a controller forward *records* to *boxes* after *after_s* seconds."""
-        told = list(records), list(boxes)
-        self._call_later(after_s, lambda: self.tell_boxes(*told))
-
-    def order(
-        self,
-        context: contextvars.Context,
-        box: str,
-        endpoint: str,
-        carry_out: Callable[[], CallReply],
-    ) -> asyncio.Future[CallReply]:
-        """Deliver an order; another id answers at the address of a replaced endpoint."""
-
-        def carry_out_if_present() -> CallReply:
-            if endpoint in self.replaced:
-                return CallReply(CallOutcome.OTHER_LIFE)
-            return carry_out()
-
-        return super().order(context, box, endpoint, carry_out_if_present)
-
-    def poll(
-        self, context: contextvars.Context, box: str, endpoint: str, order: PollOrder
-    ) -> asyncio.Future[PollReply]:
-        """Deliver a poll; another id answers at the address of a replaced endpoint."""
-        if endpoint not in self.replaced or not self._can_receive(context, box, endpoint):
-            return super().poll(context, box, endpoint, order)
-        reply: asyncio.Future[PollReply] = self.loop.create_future()
-        answer = PollReply(CallOutcome.OTHER_LIFE)
-        self._deliver_reply(context, box, endpoint, reply, answer)
-        return reply
-
-    def _deliver_reply(
-        self,
-        context: contextvars.Context,
-        box: str,
-        endpoint: str,
-        reply: asyncio.Future[Any],
-        answer: object,
-    ) -> None:
-        """Deliver a reply; the connection to a replaced endpoint has ended."""
-        is_from_replaced = endpoint in self.replaced and isinstance(answer, CallReply | PollReply)
-        if is_from_replaced and answer.outcome is not CallOutcome.OTHER_LIFE:
-            answer = answer._replace(outcome=CallOutcome.UNKNOWN)
-        super()._deliver_reply(context, box, endpoint, reply, answer)
-
     def start(self, name: str, order: StartOrder) -> CallReply:
         """Carry out a start order."""
         reply = super().start(name, order)
