Count endpoints that have certainly ended as reported

After an endpoint had restarted under a new id, queued runs of a killed owner waited for the time by which their leases would have expired: the new owner was told the name of the ended endpoint, found that another id answers at its address, and had nothing more to ask. Now it remembers for 5 s which endpoints it has dropped because they have certainly ended. A deregistration alone still proves nothing for an endpoint that reuses its id.

--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -25,6 +25,9 @@
 
 # A silent endpoint is removed from the catalog after this time; its next heartbeat adds it again.
 _SILENT_REMOVAL_MS = 15_000.0
+# How long the end of an endpoint is remembered. Exceeds the time for which a run of an earlier
+# owner may be recovering: a session and the run expiry.
+_ENDED_TTL_MS = 5_000.0
 
 
 class EndpointLinks:
@@ -54,6 +57,8 @@
         self._link_args = (lease_durations, calls, owner)
         self._links: dict[str, EndpointLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        # When links to endpoints that have certainly ended were closed, in that order.
+        self._ended_ms: dict[str, float] = {}
 
     @property
     def endpoints(self) -> Iterable[str]:
@@ -64,6 +69,10 @@
         """Return the link to *endpoint*, if there is one."""
         return self._links.get(endpoint)
 
+    def has_ended(self, endpoint: str) -> bool:
+        """Return whether *endpoint* has lost its link because it has certainly ended."""
+        return endpoint in self._ended_ms and endpoint not in self._links
+
     def close(self) -> None:
         """Cancel all tasks."""
         for task in self._tasks.values():
@@ -93,15 +102,23 @@
             elif record.born_ms in (0, link.born_ms):
                 self._state.update_endpoint(record)
                 link.record = record
+        self._expire_ended(now_ms)
         for endpoint in [name for name in self._links if name not in records]:
-            if self._has_ended(endpoint):
+            if self._can_drop(endpoint):
                 self._close(endpoint, now_ms)
                 continue
             removed = self._catalog.get(endpoint)
             if removed is not None:
                 self._state.update_endpoint(removed)
 
-    def _has_ended(self, endpoint: str) -> bool:
+    def _expire_ended(self, now_ms: float) -> None:
+        while self._ended_ms:
+            endpoint, ended_ms = next(iter(self._ended_ms.items()))
+            if now_ms < ended_ms + _ENDED_TTL_MS:
+                return
+            del self._ended_ms[endpoint]
+
+    def _can_drop(self, endpoint: str) -> bool:
         """Return whether an endpoint that the catalog has removed can be dropped."""
         link = self._links[endpoint]
         return not link.born_ms or link.is_over or self._state.candidates[endpoint].is_idle
@@ -149,6 +166,11 @@
 
     def _close(self, endpoint: str, now_ms: float) -> None:
         """Drop a removed endpoint; its runs end with it."""
-        self._links.pop(endpoint).close()
+        link = self._links.pop(endpoint)
+        link.close()
+        # Whether an endpoint that reuses its id has ended is not certain from a deregistration.
+        if link.is_over or not link.born_ms:
+            self._ended_ms.pop(endpoint, None)
+            self._ended_ms[endpoint] = now_ms
         self._tasks.pop(endpoint).cancel()
         self._state.remove_endpoint(endpoint, now_ms)
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -383,6 +383,8 @@
         A deregistration may be a delayed one of an earlier incarnation, unless the endpoint never
         uses its id again.
         """
+        if self._links.has_ended(endpoint):
+            return True
         record = self._context.catalog.get(endpoint)
         return record is not None and record.state is EndpointState.GONE and not record.born_ms
 
