Restart an endpoint in every seed of the simulations that restart endpoints

TestSameId checks that an endpoint was restarted, so that a seed can't pass without testing anything. The faults are drawn from the generator that also draws the delays of messages, so any change to the messages draws other faults, and one in 256 seeds draws no restart among its eight faults.

The check stays as it is. A seed that has drawn no restart gets one after its other faults; the faults of all other seeds are the same as before.

--- a/tests/test_owners_same_id.py
+++ b/tests/test_owners_same_id.py
@@ -47,6 +47,12 @@
         self._restarting: set[str] = set()
         self.kinds += [self._restart_endpoint] * len(self.kinds)
 
+    async def run(self) -> None:
+        """Inject overlapping faults at random intervals, among them a restart of an endpoint."""
+        await super().run()
+        if not self.world.births and not self._restarting:
+            self._restart_endpoint()
+
     def _restart_endpoint(self) -> None:
         """Crash and restart an endpoint; it may leave some time later."""
         self._crash_and_restart(self.world.rng.choice(sorted(self.world.endpoints)))
