Deliver a job that is submitted again to the zone that its runs were moved to

Callers: a task ran on two endpoints at the same time, without any fault. The connection of its caller had gone silent, and the same id was submitted at another box of the zone. In the meantime the zone, which had no room, had moved the run to another zone, and had room again.

Cause: an owner that hands a run to another zone forgets it, except for copies of the same delivery. It took the second submission for a new job.

Any other delivery of the task is answered like a run that is moved: TAKEN, followed by its end MOVED, which boxes of the previous release handle too. The box delivers the run to that zone, where it attaches, or starts if the first box has been lost before it delivered it. A run that another zone has moved back is accepted, and so is one whose task is bound to an endpoint of the zone, since no other zone may run it. A job with a moved run isn't rejected by a late owner, because that would promise that nothing ran.

A delivery in a renewed session is marked as moved, but may be of a run whose move the box was never told of. It must go to the other zone too, since the second box may have delivered the run there: SubmitRuns gains the last field is_renewed. It isn't a field of RunOrder, since the previous release doesn't read messages whose nested parts have grown.

test_a_run_that_comes_back delivered the run again without is_moved. No box does that for a run that comes back, and it is what a second submission looks like. It now has the mark; test_submitted_again_at_the_same_box covers the delivery without.

Price: no message more for any job that is submitted once.

--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -227,7 +227,7 @@
                     continue
                 orders = self._with_delivery_number(orders)
                 batch.add(orders)
-                self._tasks.spawn(self._redeliver(batch, orders, 0.0, "renewed session"))
+                self._tasks.spawn(self._redeliver(batch, orders, 0.0, is_renewed=True))
 
     def _end_expired_grant(self, now_ms: float) -> None:
         """Turn all open runs into lost ones if the grant has expired."""
@@ -278,7 +278,7 @@
                 if not orders:
                     continue
                 batch.add(orders)
-                self._tasks.spawn(self._redeliver(batch, orders, old_right_ms, "new owner"))
+                self._tasks.spawn(self._redeliver(batch, orders, old_right_ms))
 
     def _bind_starts_in_flight(self) -> None:
         """Bind the tasks whose start order the owner, which is lost, has sent without an answer."""
@@ -317,14 +317,15 @@
         PLACE_LOG.event("bindings.not_reported", zone=self.zone, peer=box, tries=_REPORT_TRIES)
 
     async def _redeliver(
-        self, batch: Batch, orders: list[RunOrder], right_ms: float, reason: str
+        self, batch: Batch, orders: list[RunOrder], right_ms: float, is_renewed: bool = False
     ) -> None:
-        reply = await self._send(batch, orders, right_ms)
+        """Deliver *orders* again, to a new owner or in a renewed session."""
+        reply = await self._send(batch, orders, right_ms, is_renewed)
         PLACE_LOG.event(
             "runs.resumed",
             job=batch.job.job_id,
             runs=len(orders),
-            why=reason,
+            why="renewed session" if is_renewed else "new owner",
             delivery=orders[0].delivery,
             owner=self._owner.box,
             token=self._owner.token,
@@ -332,7 +333,13 @@
             outcome=reply.status.name.lower(),
         )
 
-    async def _send(self, batch: Batch, orders: list[RunOrder], old_right_ms: float) -> SubmitReply:
+    async def _send(
+        self,
+        batch: Batch,
+        orders: list[RunOrder],
+        old_right_ms: float,
+        is_renewed: bool = False,
+    ) -> SubmitReply:
         """Send *orders* until an owner replies; stop when a newer owner has taken over."""
         sent_token = 0
         old_right_end_ms = monotonic_ms() + old_right_ms
@@ -347,9 +354,10 @@
                 return SubmitReply(SubmitStatus.TAKEN)
             sent_token = owner.token
             left_ms = max(0.0, old_right_end_ms - monotonic_ms())
-            message = self._histories.annotate(
-                batch.message(owner.token, still_open, left_ms), self.zone, monotonic_ms()
+            message = batch.message(owner.token, still_open, left_ms)._replace(
+                is_renewed=is_renewed
             )
+            message = self._histories.annotate(message, self.zone, monotonic_ms())
             batch.note_sent(still_open, owner.token)
             try:
                 reply: SubmitReply = await self._network.request(
--- a/src/foldloom/seed_discovery/owners/deliveries.py
+++ b/src/foldloom/seed_discovery/owners/deliveries.py
@@ -3,7 +3,8 @@
 
 Owns the recently received cancels. Uses the run lifecycle, the reservations of work stealing and
 the endpoints' orphaned runs. Messages may be delayed, duplicated and reordered: each delivery is
-numbered by its box, and a copy whose runs are already over is ignored.
+numbered by its box, and a copy whose runs are already over is ignored. A job may be submitted at
+several boxes: a run that was moved to another zone is not started here for another delivery.
 """
 
 from __future__ import annotations
@@ -11,9 +12,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from foldloom.seed_discovery.jobs.spec import TaskId
+from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
-from foldloom.seed_discovery.owners.messages import EndCause, RunOrder, SubmitRuns
+from foldloom.seed_discovery.owners.messages import EndCause, RunEnd, RunOrder, SubmitRuns
 from foldloom.seed_discovery.owners.recovery import recovery_bound
 from foldloom.seed_discovery.owners.reports import adopt_orphan
 from foldloom.seed_discovery.owners.stealing import WorkStealing
@@ -84,10 +85,12 @@
         """
         spec = _run_spec(message, now_ms)
         bound = recovery_bound(now_ms, message.old_right_ms, self._gone_after_ms, earlier_endpoints)
+        self._lifecycle.started.note_delivered(message.job_id, spec.deadline_ms)
         for order in message.orders:
             task = TaskId(message.job_id, message.repeat, order.step, order.position)
             self._stealing.release_reservation(group_of(task))
-            self._accept_run(holder, task, order, spec, bound, now_ms)
+            if not self._forward_moved(holder, task, order, message.is_renewed):
+                self._accept_run(holder, task, order, spec, bound, now_ms)
 
     def note_rejected(self, holder: HolderId, message: SubmitRuns, now_ms: float) -> None:
         """Record that the runs of *message* were not accepted, so that later copies are not."""
@@ -135,7 +138,6 @@
         now_ms: float,
     ) -> None:
         """Accept a run of *task* for *holder*, or add *holder* to the task's current run."""
-        self._lifecycle.started.note_delivered(task.job_id, spec.deadline_ms)
         if order.is_resumed:
             # An earlier owner may have started the run.
             self._lifecycle.started.note(task.job_id, spec.deadline_ms)
@@ -164,6 +166,31 @@
         if not is_adopted and state is RunState.QUEUED:
             self._lifecycle.queue(run, now_ms)
 
+    def _forward_moved(
+        self, holder: HolderId, task: TaskId, order: RunOrder, is_renewed: bool
+    ) -> bool:
+        """Have *holder* deliver a run to the zone that it was moved to; return whether it does.
+
+        The run may be on an endpoint there. It is accepted here if another zone has moved it back,
+        or if its task may only run on an endpoint of this zone.
+        """
+        zone = self._lifecycle.started.zone_of_moved(task)
+        if not zone or order.is_resumed or self._lifecycle.get(task) is not None:
+            return False
+        tombstone = self._lifecycle.tombstones.get(task)
+        if tombstone is not None and tombstone.is_duplicate(holder, order.delivery):
+            return False
+        if order.is_moved and not is_renewed:
+            self._lifecycle.started.note_returned(task)
+            return False
+        if task in self._lifecycle.unanswered_starts.bound_endpoints:
+            return False
+        run_id = RunId(task, order.attempt)
+        end = RunEnd(run_id, EndCause.MOVED, moved_to=zone, delivery=order.delivery)
+        self._lifecycle.notify(holder, end)
+        self._lifecycle.tombstones.note_delivery(task, holder, order.delivery)
+        return True
+
     def _next_attempt(self, task: TaskId, order: RunOrder) -> int:
         """Return the attempt of a run delivered by *order*: above those known to this owner."""
         attempt = order.attempt
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -90,6 +90,7 @@
         old_right_ms: How much longer an earlier owner may run these.
         orders: The runs.
         bindings: Bindings of their tasks to endpoints of the owner's zone.
+        is_renewed: Whether they were delivered to the same owner in an earlier session.
     """
 
     token: int
@@ -108,6 +109,7 @@
     old_right_ms: int
     orders: list[RunOrder]
     bindings: tuple[EndpointBinding, ...] = ()
+    is_renewed: bool = False
 
 
 class SubmitStatus(IntEnum):
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -164,6 +164,8 @@
         """
         if message.bindings or self._lifecycle.runs_of_job(message.job_id):
             return None
+        if self._lifecycle.started.has_moved_runs(message.job_id):
+            return None
         return self._admission.reject_while_late(message)
 
     def adopt(self, binding: EndpointBinding, now_ms: float) -> None:
--- a/src/foldloom/seed_discovery/owners/stealing.py
+++ b/src/foldloom/seed_discovery/owners/stealing.py
@@ -92,4 +92,5 @@
         has_started = run.task.job_id in lifecycle.started
         end = RunEnd(run.run_id, EndCause.MOVED, moved_to=zone, has_started=has_started)
         lifecycle.retire(run, end, now_ms)
+        lifecycle.started.note_moved(run.task, zone)
     return len(released)
--- a/src/foldloom/seed_discovery/owners/tombstones.py
+++ b/src/foldloom/seed_discovery/owners/tombstones.py
@@ -64,6 +64,13 @@
         deliveries = {} if previous is None else previous.deliveries
         self._by_task[run.task] = Tombstone(run.attempt, now_ms, None, deliveries | run.holders)
 
+    def note_delivery(self, task: TaskId, holder: HolderId, delivery: int) -> None:
+        """Record a delivery of *task* that did not start a run."""
+        tombstone = self._by_task.get(task)
+        if tombstone is not None:
+            known = tombstone.deliveries.get(holder, 0)
+            tombstone.deliveries[holder] = max(delivery, known)
+
     def add_orphaned(self, end: EndedRun, endpoint: str, now_ms: float) -> None:
         """Add a tombstone for the end of an orphaned run; a box may submit the task later."""
         task, attempt = end.run_id
--- a/tests/test_owners_messages.py
+++ b/tests/test_owners_messages.py
@@ -45,7 +45,7 @@
 
 
 class TestReleaseBefore:
-    """Previous releases send fewer fields: no token, crash counts, bindings or starts."""
+    """Previous releases send fewer fields: no token, crash counts, bindings, starts or renewals."""
 
     @pytest.mark.parametrize(
         ("message", "fields_before", "absent"),
@@ -56,7 +56,8 @@
             (_ENDS, 5, ((), (), None)),
             (_ENDS, 6, ((), None)),
             (_ENDS, 7, (None,)),
-            (_SUBMISSION, 15, ((),)),
+            (_SUBMISSION, 15, ((), False)),
+            (_SUBMISSION, 16, (False,)),
             (EndsNoted(False), 0, (True,)),
             (_HEARTBEAT, 5, (False,)),
             (_ACK, 4, (None,)),
--- a/tests/test_owners_second_submissions.py
+++ b/tests/test_owners_second_submissions.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from models.second_submissions import SecondSubmissionWorld, run_scenario
+from models.second_submissions import JOB, TASK_MS, SecondSubmissionWorld, run_scenario
 from models.zones_world import ZONES
 
 
@@ -80,7 +80,7 @@
     """The owner of the zone, which had no room, has moved the run to another zone."""
 
     def test_submitted_at_another_box(self, seed: int, is_owner: bool) -> None:
-        """Known to fail, see KNOWN-RED.txt: the owner starts a run that it has moved."""
+        """The owner, which has room again, doesn't start a run that it has moved."""
 
         async def play(world: SecondSubmissionWorld) -> None:
             first, second = (world.box(ZONES[0], is_owner=one) for one in (not is_owner, is_owner))
@@ -90,6 +90,38 @@
         _check_one_run(world)
         assert world.started_in == [ZONES[1]]
 
+    def test_submitted_after_its_end(self, seed: int, is_owner: bool) -> None:
+        """The run has ended in the other zone, which starts the task again."""
+
+        async def play(world: SecondSubmissionWorld) -> None:
+            first, second = (world.box(ZONES[0], is_owner=one) for one in (not is_owner, is_owner))
+            await world.submit_twice_after_move(first, second, after_s=2 * TASK_MS / 1_000)
+
+        world = run_scenario(seed, play)
+        _check_one_run(world)
+        assert world.started_in == [ZONES[1], ZONES[1]]
+
+
+@pytest.mark.parametrize("seed", range(8))
+class TestUnnoticedMove:
+    """The box of the moved run is lost before it learns of the move, and doesn't deliver it."""
+
+    def test_killed(self, seed: int) -> None:
+        """The box of the second submission delivers the run to the other zone."""
+        world = run_scenario(seed, lambda world: world.submit_twice_and_lose_move(is_killed=True))
+        assert world.doubled == [], _describe(world)
+        assert world.started_in == [ZONES[1]]
+        assert [answer.is_completed for answer in world.answers if answer.job_id == JOB] == [
+            False,
+            True,
+        ]
+
+    def test_cut_off_until_its_session_has_expired(self, seed: int) -> None:
+        """The box delivers the run to the first zone again, which doesn't start it either."""
+        world = run_scenario(seed, lambda world: world.submit_twice_and_lose_move(is_killed=False))
+        _check_one_run(world)
+        assert world.started_in == [ZONES[1]]
+
 
 @pytest.mark.parametrize("seed", range(8))
 @pytest.mark.parametrize("is_owner", [False, True])
--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -17,6 +17,7 @@
 from foldloom.seed_discovery.owners.actions import StopAction
 from foldloom.seed_discovery.owners.messages import (
     EndCause,
+    EndpointBinding,
     Objective,
     RunEnd,
     RunOrder,
@@ -25,6 +26,7 @@
 )
 from foldloom.seed_discovery.owners.state import OwnerState
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
+from foldloom.seed_discovery.scheduling.overload import OverloadControl
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId
 from foldloom.seed_discovery.scheduling.runs import HolderId
 
@@ -211,6 +213,11 @@
     return submission(orders=[RunOrder(0, 0, 1, delivery=delivery)])
 
 
+def _moved_submission(delivery: int, is_renewed: bool = False) -> SubmitRuns:
+    order = RunOrder(0, 0, 1, is_moved=True, delivery=delivery)
+    return submission(orders=[order], is_renewed=is_renewed)
+
+
 class TestDuplicateDeliveries:
     """Late copies of a delivery do not start its runs again."""
 
@@ -239,11 +246,11 @@
         assert state.actions.pop_starts() == []
 
     def test_a_run_that_comes_back(self) -> None:
-        """A new delivery of a stolen run is accepted."""
+        """A stolen run that another zone moves back is accepted."""
         state = owner_with(endpoint("w1"))
         state.submit(_E1, _numbered_submission(1), 1.0)
         state.release_to_zone(self._GROUP, 1, "other", 2.0)
-        state.submit(_E1, _numbered_submission(3), 10.0)
+        state.submit(_E1, _moved_submission(3), 10.0)
         state.place(10.0)
         assert len(state.actions.pop_starts()) == 1
 
@@ -266,6 +273,114 @@
         assert {holder: end.delivery for holder, end in ends_of(state)} == {_E1: 7, _E2: 3}
 
 
+class TestMovedRuns:
+    """A run that another zone has stolen is not started here for another delivery."""
+
+    _GROUP = GroupId(_JOB, 0, 0)
+
+    def _owner(self, **changes: Any) -> OwnerState:
+        """Return an owner with room that has moved the run of *_E1* to zone b."""
+        state = owner_with(endpoint("w1"))
+        state.submit(_E1, _numbered_submission(1)._replace(**changes), 1.0)
+        state.release_to_zone(self._GROUP, 1, "b", 2.0)
+        assert [holder for holder, _ in ends_of(state)] == [_E1]
+        return state
+
+    @staticmethod
+    def _starts(state: OwnerState, now_ms: float) -> list[RunId]:
+        state.place(now_ms)
+        return [action.run_id for action in state.actions.pop_starts()]
+
+    def test_submitted_at_another_box(self) -> None:
+        """That box is told to deliver the run to the other zone, where it may run."""
+        state = self._owner()
+        assert state.submit(_E2, _numbered_submission(7), 3.0).status is SubmitStatus.TAKEN
+        assert self._starts(state, 3.0) == []
+        assert ends_of(state) == [
+            (_E2, RunEnd(RunId(_TASK, 1), EndCause.MOVED, moved_to="b", delivery=7))
+        ]
+
+    def test_a_copy_of_that_delivery(self) -> None:
+        """A retransmitted copy doesn't start the run either."""
+        state = self._owner()
+        state.submit(_E2, _numbered_submission(7), 3.0)
+        state.submit(_E1, _moved_submission(8), 4.0)
+        state.cancel(_E1, _JOB, 5.0)
+        state.submit(_E2, _numbered_submission(7), 6.0)
+        assert self._starts(state, 6.0) == []
+
+    def test_submitted_again_at_the_same_box(self) -> None:
+        """The run may still be held there by another box."""
+        state = self._owner()
+        state.submit(_E1, _numbered_submission(2), 3.0)
+        assert self._starts(state, 3.0) == []
+
+    def test_delivered_again_in_a_renewed_session(self) -> None:
+        """Its box was not told of the move, but another box may have delivered it there."""
+        state = self._owner()
+        state.end_session(_E1, 400.0)
+        state.submit(_E2, _numbered_submission(7), 410.0)
+        state.submit(_E1, _moved_submission(2, is_renewed=True), 420.0)
+        assert self._starts(state, 420.0) == []
+        assert [(holder, end.moved_to) for holder, end in ends_of(state)] == [
+            (_E2, "b"),
+            (_E1, "b"),
+        ]
+
+    def test_moved_back(self) -> None:
+        """A second submission attaches to a run that another zone has moved back."""
+        state = self._owner()
+        state.submit(_E1, _moved_submission(2), 3.0)
+        state.submit(_E2, _numbered_submission(7), 4.0)
+        assert len(self._starts(state, 4.0)) == 1
+        run = state.current_run(_TASK)
+        assert run is not None
+        assert set(run.holders) == {_E1, _E2}
+
+    def test_a_late_copy_after_it_was_moved_twice(self) -> None:
+        """A late copy of the delivery that moved it back doesn't count as another one."""
+        state = self._owner()
+        state.submit(_E1, _moved_submission(2), 3.0)
+        state.release_to_zone(self._GROUP, 1, "c", 4.0)
+        state.submit(_E1, _moved_submission(2), 5.0)
+        state.submit(_E2, _numbered_submission(7), 6.0)
+        assert self._starts(state, 6.0) == []
+        assert [(holder, end.moved_to) for holder, end in ends_of(state)] == [
+            (_E1, "c"),
+            (_E2, "c"),
+        ]
+
+    def test_bound_to_an_endpoint(self) -> None:
+        """A task that only an endpoint of this zone may run is accepted."""
+        state = self._owner()
+        binding = EndpointBinding(RunId(_TASK, 1), "w1")
+        state.submit(_E2, _numbered_submission(7)._replace(bindings=(binding,)), 3.0)
+        assert [run_id.task for run_id in self._starts(state, 3.0)] == [_TASK]
+
+    def test_until_after_the_deadline(self) -> None:
+        """The move is remembered until the run has certainly ended, and no longer."""
+        deadline_ms = 20_000
+        state = self._owner(deadline_ms=deadline_ms)
+        state.tick(deadline_ms + _GONE_AFTER_MS)
+        now_ms = deadline_ms + _GONE_AFTER_MS
+        state.submit(_E2, _numbered_submission(7), now_ms)
+        assert self._starts(state, now_ms) == []
+        state = self._owner(deadline_ms=deadline_ms)
+        state.tick(2.0 * deadline_ms)
+        state.submit(_E2, _numbered_submission(7), 2.0 * deadline_ms)
+        assert len(self._starts(state, 2.0 * deadline_ms)) == 1
+
+    def test_the_owner_is_late(self) -> None:
+        """A job with a moved run is not rejected with the promise that nothing ran."""
+        overload = OverloadControl()
+        state = OwnerState(_GONE_AFTER_MS, overload=overload)
+        state.submit(_E1, _numbered_submission(1), 1.0)
+        state.release_to_zone(self._GROUP, 1, "b", 2.0)
+        overload.reject = lambda _priority: 500  # type: ignore[method-assign]
+        reply = state.submit(_E2, _numbered_submission(7), 3.0)
+        assert reply.status is SubmitStatus.TAKEN
+
+
 class TestStragglers:
     """Long tasks among short ones must not be stopped as stuck again and again."""
 
