Do not count a declined delivery as one that may have started

Cause: an owner that is not confirmed declines deliveries (NOT_OWNER), and so does one without a session. The box kept that owner's token with the run, and marked each open run as resumed for the next owner, which then counts it as one that may have been started, looks for it, and never rejects it.

A delivery that is declined, and is the only one sent to that owner, has not been accepted: its token is removed. Runs that no owner may have accepted are not delivered again beside the delivery that is still under way; that one goes on to the next owner, which may reject the job. If an earlier copy is unanswered or was accepted, the run is resumed as before.

tests/test_owners_client.py::TestOwnerThatDeclines: the first of three failed before, the two others guard what must stay and passed before as well.

--- a/src/foldloom/seed_discovery/owners/batches.py
+++ b/src/foldloom/seed_discovery/owners/batches.py
@@ -82,11 +82,38 @@
             known = self._open.get(task)
             self._open[task] = _OpenRun(order) if known is None else known._replace(order=order)
 
-    def note_sent(self, orders: Iterable[RunOrder], token: int) -> None:
-        """Record that *orders* are sent to the owner with *token*, which may start them."""
+    def note_sent(self, orders: Iterable[RunOrder], token: int) -> list[RunOrder]:
+        """Record that *orders* are sent to the owner with *token*, which may start them.
+
+        Return those that are sent to it for the first time.
+        """
+        first_sent = []
         for order in orders:
             known = self._open[self.task(order)]
+            if token not in known.tokens:
+                first_sent.append(order)
             self._open[self.task(order)] = known._replace(tokens=known.tokens | {token})
+        return first_sent
+
+    def note_not_taken(self, orders: Iterable[RunOrder], token: int) -> None:
+        """Record that the owner with *token* has not accepted *orders*, sent to it only once.
+
+        An order that has been delivered again since may have been accepted then.
+        """
+        for order in orders:
+            if self.is_open(order):
+                known = self._open[self.task(order)]
+                self._open[self.task(order)] = known._replace(tokens=known.tokens - {token})
+
+    def resume(self) -> list[RunOrder]:
+        """Mark the open runs that an owner may have accepted as resumed, and return their orders.
+
+        The others are still being delivered for the first time.
+        """
+        for task, run in self._open.items():
+            if run.tokens:
+                self._open[task] = run._replace(order=run.order._replace(is_resumed=True))
+        return [order for order in self.orders if order.is_resumed]
 
     def note_start(self, start: StartOrdered) -> None:
         """Record that an open run is being started, or that its endpoint has answered."""
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -271,13 +271,12 @@
         return [order._replace(delivery=delivery) for order in orders]
 
     def _redeliver_to_new_owner(self, old_right_ms: float) -> None:
-        """Deliver all open runs to a new owner, which finds those that are running."""
+        """Deliver the open runs of earlier owners to a new one, which finds those that run."""
         for batches in self._batches.values():
             for batch in batches:
-                orders = [order._replace(is_resumed=True) for order in batch.orders]
+                orders = batch.resume()
                 if not orders:
                     continue
-                batch.add(orders)
                 self._tasks.spawn(self._redeliver(batch, orders, old_right_ms))
 
     def _bind_starts_in_flight(self) -> None:
@@ -340,15 +339,18 @@
         old_right_ms: float,
         is_renewed: bool = False,
     ) -> SubmitReply:
-        """Send *orders* until an owner replies; stop when a newer owner has taken over."""
+        """Send *orders* until an owner replies.
+
+        Stop when a newer owner has taken over, except with those that no owner has accepted.
+        """
         sent_token = 0
         old_right_end_ms = monotonic_ms() + old_right_ms
         while True:
             await self._has_owner.wait()
             owner = self._owner
             if sent_token and owner.token != sent_token:
-                # All open runs have already been delivered to the new owner.
-                return SubmitReply(SubmitStatus.TAKEN)
+                # The others have already been delivered to the new owner.
+                orders = [order for order in orders if not order.is_resumed]
             still_open = [order for order in orders if batch.is_open(order)]
             if not still_open:
                 return SubmitReply(SubmitStatus.TAKEN)
@@ -358,7 +360,7 @@
                 is_renewed=is_renewed
             )
             message = self._histories.annotate(message, self.zone, monotonic_ms())
-            batch.note_sent(still_open, owner.token)
+            first_sent = batch.note_sent(still_open, owner.token)
             try:
                 reply: SubmitReply = await self._network.request(
                     owner.box, message, REPLY_TIMEOUT_MS
@@ -368,4 +370,5 @@
                 continue
             if reply.status is not SubmitStatus.NOT_OWNER:
                 return reply
+            batch.note_not_taken(first_sent, owner.token)
             await asyncio.sleep(_NOT_OWNER_BACKOFF_S)
--- a/tests/test_owners_client.py
+++ b/tests/test_owners_client.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self.has_started = False
         self.is_reachable = True
+        self.submit_status = SubmitStatus.TAKEN
         self.answers_after_s = 0.0
         self.later_owner: ZoneOwner | None = None
         self.asked: list[Any] = []
@@ -71,7 +72,7 @@
             return self.later_owner.cancel("10.0.0.1:1", message)
         if isinstance(message, CancelJob):
             return Cancelled(self.has_started)
-        return SubmitReply(SubmitStatus.TAKEN)
+        return SubmitReply(self.submit_status)
 
 
 class Rig:
@@ -103,6 +104,11 @@
         message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
         return int(message.orders[0].delivery)
 
+    def last_order(self) -> RunOrder:
+        """Return the run of the newest delivery."""
+        message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
+        return message.orders[0]
+
     def last_token(self) -> int:
         """Return the token of the owner that received the newest delivery."""
         message = [one for one in self.network.asked if isinstance(one, SubmitRuns)][-1]
@@ -235,6 +241,68 @@
         _run(play())
 
 
+class TestOwnerThatDeclines:
+    """An owner that has declined the only delivery of a run has not started it."""
+
+    def test_next_owner_gets_a_first_delivery(self) -> None:
+        """The next owner may reject the job, and the box may say that nothing has run."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            rig.network.submit_status = SubmitStatus.NOT_OWNER
+            submission_task = asyncio.create_task(rig.submit())
+            await asyncio.sleep(0.01)
+            rig.network.submit_status = SubmitStatus.REFUSED
+            rig.beat(2)
+            assert (await submission_task).status is SubmitStatus.REFUSED
+            assert rig.last_token() == 2
+            assert not rig.last_order().is_resumed
+            assert not await rig.client.cancel_and_wait(rig.job)
+
+        _run(play())
+
+    def test_an_earlier_copy_is_unanswered(self) -> None:
+        """A copy that was lost may have been accepted, so the next owner looks for the run."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            rig.network.is_reachable = False
+            submission_task = asyncio.create_task(rig.submit())
+            await asyncio.sleep(0.01)
+            rig.network.is_reachable = True
+            rig.network.submit_status = SubmitStatus.NOT_OWNER
+            await asyncio.sleep(0.01)
+            rig.network.submit_status = SubmitStatus.TAKEN
+            rig.beat(2)
+            await submission_task
+            await asyncio.sleep(0.01)
+            assert rig.last_token() == 2
+            assert rig.last_order().is_resumed
+            assert await rig.client.cancel_and_wait(rig.job)
+
+        _run(play())
+
+    def test_accepted_before_it_declines(self) -> None:
+        """An owner that declines a run which it has accepted before may have started it."""
+
+        async def play() -> None:
+            rig = Rig()
+            rig.beat(1)
+            await rig.submit()
+            rig.network.submit_status = SubmitStatus.NOT_OWNER
+            rig.network.handlers[SessionBegan]("10.0.0.1:1", SessionBegan(_OWN_ZONE, 1))
+            await asyncio.sleep(0.01)
+            rig.network.submit_status = SubmitStatus.TAKEN
+            rig.beat(2)
+            await asyncio.sleep(0.01)
+            assert rig.last_token() == 2
+            assert rig.last_order().is_resumed
+
+        _run(play())
+
+
 class TestSameIdAgain:
     """An id is submitted again while its first submission is still being cancelled."""
 
