Do not count an evicted endpoint as ended

Callers' tasks could run twice at the same time after a partition, with endpoints that report no birth. An owner evicts an endpoint that it has not reached for 15 s, closes its link, and then counted it as certainly ended for 5 s, as it does after a deregistration. If a box then delivers a run that an earlier owner has started there, on the other side of the partition, the run counted as lost on the reports of the other endpoints.

Only a deregistration leaves a record of the endpoint as gone; an eviction leaves none. The link's end now counts in the first case only, and otherwise time ends the run.

--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -14,7 +14,7 @@
 from foldloom.logs import ENDPOINT_LOG
 from foldloom.seed_discovery.endpoints.calls import EndpointCalls
 from foldloom.seed_discovery.endpoints.catalog import EndpointCatalog
-from foldloom.seed_discovery.endpoints.records import EndpointRecord
+from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.owners.endpoint_link import (
     AnswerSource,
     EndpointLink,
@@ -168,8 +168,11 @@
         """Drop a removed endpoint; its runs end with it."""
         link = self._links.pop(endpoint)
         link.close()
-        # Whether an endpoint that reuses its id has ended is not certain from a deregistration.
-        if link.is_over or not link.born_ms:
+        # Whether an endpoint that reuses its id has ended is not certain from a deregistration. One
+        # that was evicted, and so is in no record, may only be out of this box's reach.
+        removed = self._catalog.get(endpoint)
+        is_deregistered = removed is not None and removed.state is EndpointState.GONE
+        if link.is_over or (is_deregistered and not link.born_ms):
             self._ended_ms.pop(endpoint, None)
             self._ended_ms[endpoint] = now_ms
         self._tasks.pop(endpoint).cancel()
--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -599,3 +599,29 @@
         waited_ms = run_in_virtual_time(play(), VirtualTimeLoop())
         longest_ms = UNANSWERED_ORDER_TTL_MS + _LEASE_DURATIONS.longest_real_ms
         assert longest_ms - 500.0 < waited_ms < longest_ms + 2 * LAPSE_MARGIN_MS
+
+
+class TestHasEnded:
+    """Endpoints that count as ended in the recovery of an earlier owner's run."""
+
+    @pytest.mark.parametrize("is_evicted", [False, True])
+    @pytest.mark.parametrize("born_ms", [0, _BORN_MS])
+    def test_removed_endpoint(self, born_ms: int, is_evicted: bool) -> None:
+        """Guards against a lost run on an endpoint that was evicted since it was silent here."""
+
+        async def play() -> bool:
+            world = _World(born_ms)
+            await world.follow(0.5)
+            if is_evicted:
+                world.catalog.evict("w1")
+            else:
+                world.leave()
+            await world.follow(0.04)
+            assert world.links.get("w1") is None
+            has_ended = world.links.has_ended("w1")
+            world.links.close()
+            return has_ended
+
+        has_ended = run_in_virtual_time(play(), VirtualTimeLoop())
+        # Only the deregistration of an endpoint that never reuses its id shows its end.
+        assert has_ended == (not is_evicted and not born_ms)
