Test a sound owner's term, and queued runs of one that was paused

The elector's tests of resumed owners run on a simulated clock, since they failed at a load of 20 and more.

--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -430,10 +430,11 @@
 
     def _place(self) -> None:
         """Place queued runs, and count the processor time that it takes."""
-        if not self.is_valid:
+        now_ms = monotonic_ms()
+        if not self._validity.is_valid(now_ms):
             return
         began_s = time.thread_time()
-        self._state.place(monotonic_ms())
+        self._state.place(now_ms)
         self._metrics.count("placement.rounds")
         self._metrics.count("placement.processor_us", int((time.thread_time() - began_s) * 1e6))
 
--- a/tests/test_owners_elector.py
+++ b/tests/test_owners_elector.py
@@ -22,6 +22,7 @@
 from foldloom.seed_discovery.fleet.view import FleetView
 from foldloom.seed_discovery.owners.elector import Elector
 from foldloom.settings import ENTRY, TimingSettings
+from models.virtual_time import VirtualTimeLoop, run_in_virtual_time
 
 _ZONE = "z"
 _CONTROLLER = "10.0.9.1:1"
@@ -181,7 +182,7 @@
             await rig.run(self._ASKED_S)
             assert rig.network.timeouts_ms == {}
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
     def test_it_continues_without_a_successor(self) -> None:
         """All witnesses are asked, and a lower token changes nothing."""
@@ -195,7 +196,7 @@
             asked = {_record(1).box, _record(3).box, _CONTROLLER}
             assert set(rig.network.timeouts_ms) == asked
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
     def test_it_follows_its_successor(self) -> None:
         """The first answer with a higher token suffices, also while other boxes are silent."""
@@ -211,7 +212,7 @@
             assert not owner.is_valid
             assert rig.view.owner_of(_ZONE) == successor
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
     def test_silent_successor_is_replaced(self) -> None:
         """If the successor is silent by now, the zone is acquired with a higher token."""
@@ -226,7 +227,7 @@
             assert present is not owner
             assert present.token > successor.token
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
     def test_unknown_owner_is_not_followed(self) -> None:
         """A box that only knows a token from a fencing refusal has no successor to name."""
@@ -238,7 +239,7 @@
             assert rig.elector.owner is owner
             assert owner.is_valid
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
     def test_nobody_answers(self) -> None:
         """An isolated owner continues after the timeout of the queries, and not before."""
@@ -255,7 +256,7 @@
             assert rig.elector.owner is owner
             assert owner.is_valid
 
-        _run(play())
+        run_in_virtual_time(play(), VirtualTimeLoop())
 
 
 class TestOwnerOfAnotherZone:
--- a/tests/test_owners_zone_owner.py
+++ b/tests/test_owners_zone_owner.py
@@ -20,7 +20,7 @@
 from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
 from foldloom.seed_discovery.fleet.messages import BoxRecord, HeartbeatAck, OwnerRecord
 from foldloom.seed_discovery.fleet.view import FleetView
-from foldloom.seed_discovery.jobs.spec import Demand, Placement
+from foldloom.seed_discovery.jobs.spec import Demand, Placement, TaskId
 from foldloom.seed_discovery.owners.context import OwnerContext
 from foldloom.seed_discovery.owners.messages import (
     CancelJob,
@@ -31,12 +31,13 @@
     SessionBegan,
     SessionNoted,
     StealRuns,
+    SubmitReply,
     SubmitRuns,
     SubmitStatus,
 )
 from foldloom.seed_discovery.owners.zone_owner import ZoneOwner
 from foldloom.seed_discovery.scheduling.remote_groups import GroupId
-from foldloom.seed_discovery.scheduling.runs import HolderId
+from foldloom.seed_discovery.scheduling.runs import HolderId, RunState
 from foldloom.settings import ENTRY, TimingSettings
 from models.virtual_time import VirtualTimeLoop, run_in_virtual_time
 
@@ -302,6 +303,22 @@
         _acknowledge(owner, 1, monotonic_ms())
         return owner
 
+    def test_sound_owner_is_valid(self) -> None:
+        """Acknowledgements by the owner's own box, and only those, keep its term valid."""
+
+        async def play() -> None:
+            owner = owner_on_box_one(2, session_ms=self._SESSION_MS)
+            for _ in range(10):
+                _acknowledge(owner, 1, monotonic_ms())
+                _pause(self._SESSION_MS / 2_000)
+                assert owner.is_valid
+            _acknowledge(owner, 2, monotonic_ms())
+            _pause(self._SESSION_MS / 2_000)
+            assert not owner.is_valid
+            owner.close()
+
+        _run(play())
+
     def test_it_accepts_and_starts_nothing(self) -> None:
         """An acknowledgement by its own box does not make it certain; a confirmation does."""
 
@@ -310,7 +327,8 @@
             owner = await self._resume(calls)
             assert not owner.is_valid
             sender = _record(1).box
-            assert owner.submit(sender, _submission(2)).status is SubmitStatus.NOT_OWNER
+            reply = owner.submit(sender, _submission(2))
+            assert reply == SubmitReply(SubmitStatus.NOT_OWNER, "not confirmed")
             assert not owner.may_renew("w1", monotonic_ms())
             assert owner.confirm(monotonic_ms())
             assert owner.submit(sender, _submission(2)).status is SubmitStatus.TAKEN
@@ -340,6 +358,30 @@
 
         _run(play())
 
+    def test_queued_run_waits(self) -> None:
+        """A run that was queued before the pause is placed after the confirmation only."""
+
+        async def play() -> None:
+            calls = _Calls()
+            owner = owner_on_box_one(calls=calls, session_ms=self._SESSION_MS)
+            owner.start()
+            _acknowledge(owner, 1, monotonic_ms())
+            submission = _submission(1)._replace(orders=[RunOrder(0, 0, 1, is_moved=True)])
+            owner.submit(_record(1).box, submission)
+            _pause(self._PAUSED_S)
+            _acknowledge(owner, 1, monotonic_ms())
+            owner._context.catalog.merge(_ENDPOINT, monotonic_ms())
+            await asyncio.sleep(2 * _ORDERED_S)
+            run = owner.state.current_run(TaskId(submission.job_id, 0, 0, 0))
+            assert run is not None
+            assert run.state is RunState.QUEUED
+            assert owner.confirm(monotonic_ms())
+            await asyncio.sleep(_ORDERED_S)
+            assert calls.starts == 1
+            owner.close()
+
+        _run(play())
+
     def test_it_gives_no_runs_away(self) -> None:
         """A queued run may be with the successor already, so no other zone may take it."""
 
