Let stopped endpoint stand-ins execute nothing

The stand-in had been stopped, which clears its runs, while a start order was being read; it then executed the order, and its successor already served at the same port. The owner had rightly concluded from the refused connection that the endpoint had crashed.

A process that has ended starts nothing, so an order read after the end now ends its connection instead. The check for two runs is unchanged. The test, which stops a stand-in at each of the first turns of the event loop after an order was sent, failed before and passes now.

--- a/tests/standins/run_endpoint.py
+++ b/tests/standins/run_endpoint.py
@@ -271,6 +271,10 @@
         if request.headers.get("X-Foldloom-Expected-Instance") != self.name:
             return web.Response(status=421)
         body = msgspec.json.decode(await request.read())
+        if self._is_stopped.is_set():
+            # The process has ended, although its server still finishes open requests.
+            self._abort_connections()
+            return web.Response(status=503)
         match request.path:
             case "/foldloom/run-start" if self.starts_late_s:
                 asyncio.get_running_loop().call_later(self.starts_late_s, self._start_delayed, body)
