Ignore a replaced owner's end of a run that no endpoint reported

An owner that is cut off from its zone counts as isolated, and so takes no lease for expired, only without a session with any other box. A box of another zone keeps that session for up to 500 ms after it has followed the successor. If the replaced owner does not hear that box (one direction lost, so HigherToken is lost too), it takes the leases for expired that the successor renews. The box accepted that end, since the run had been delivered again under the same delivery number, and retried the task in its own zone.

A box now ignores LAPSED and LOST from an owner with a lower token than the one that it follows. All its open runs have been delivered to that one, which ends them by reports or time. Ends that an endpoint has reported still count, and so does an end without a token (previous release).

--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -53,6 +53,9 @@
 # Interval of checks for a reachable owner; small against a job's response-time objective.
 _OWNER_CHECK_S = 0.01
 
+# Ends that an owner concludes from an expired lease, or from what no endpoint reports.
+_CAUSES_WITHOUT_REPORT = frozenset({EndCause.LAPSED, EndCause.LOST})
+
 
 class _MovedTo(NamedTuple):
     """Where runs of a batch are delivered next.
@@ -287,7 +290,10 @@
         moved: dict[_MovedTo, list[RunOrder]],
     ) -> None:
         """Pass an end to its job, or add its order to *moved* if another zone takes the run."""
-        for batch in connection.batches_by_id(end.run_id.task.job_id):
+        # The present owner has the run and may have renewed its lease since.
+        is_outdated = token < connection.owner.token and end.cause in _CAUSES_WITHOUT_REPORT
+        batches = [] if is_outdated else connection.batches_by_id(end.run_id.task.job_id)
+        for batch in batches:
             order = batch.close(end, token)
             if order is None:
                 continue
