Name the endpoints of earlier owners until their runs have ended

The second of three owners adopts a run of the first one. Its announcement of the run's endpoint does not arrive (messages that take 200 ms: announcements expire after 150, heartbeats after 400), and once the first owner's grant has expired, the box names its endpoints no more. The third owner does not know the endpoint, and took the run for lost on the reports of the others.

A box now names the endpoints of earlier owners for as long as it has an open run that one of them may have started, however long the present owner keeps it.

--- a/src/foldloom/seed_discovery/owners/announced_endpoints.py
+++ b/src/foldloom/seed_discovery/owners/announced_endpoints.py
@@ -8,13 +8,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from foldloom.seed_discovery.owners.messages import EndpointList
 
 
 class AnnouncedEndpoints:
-    """What the present and the earlier owners of one zone have announced to this box."""
+    """What the present and the earlier owners of one zone have announced to this box.
+
+    Args:
+        has_earlier_runs: Returns whether an owner before the present one may have started a run
+            that is still open.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, has_earlier_runs: Callable[[], bool]) -> None:
+        self._has_earlier_runs = has_earlier_runs
         # None if the owner is of an earlier release, which does not announce endpoints.
         self._present: EndpointList | None = EndpointList()
         self._earlier: frozenset[str] | None = frozenset()
@@ -52,6 +60,9 @@
     def _of_earlier_owners(self, now_ms: float) -> frozenset[str] | None:
         # Until the present owner has announced endpoints, it may have adopted runs on others.
         has_announced = self._present is not None and self._present.revision > 0
-        if has_announced and now_ms >= self._earlier_end_ms:
+        if not has_announced or now_ms < self._earlier_end_ms:
+            return self._earlier
+        # It may have adopted a run where the announcement of a later list has not arrived.
+        if self._earlier != frozenset() and not self._has_earlier_runs():
             self._earlier = frozenset()
         return self._earlier
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -86,7 +86,7 @@
         self._histories = histories
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
-        self._announced = AnnouncedEndpoints()
+        self._announced = AnnouncedEndpoints(self._has_earlier_runs)
         self._batches: dict[str, list[Batch]] = {}
         # Of runs that this box has cancelled, and of runs that only the owner's box has delivered.
         self._cancelled_starts = StartsInFlight()
@@ -258,6 +258,14 @@
             # A delivery still being retransmitted must not reach the owner when it is back.
             batch.clear()
 
+    def _has_earlier_runs(self) -> bool:
+        """Return whether an owner before the present one may have started an open run."""
+        return any(
+            batch.tokens - {self._owner.token}
+            for batches in self._batches.values()
+            for batch in batches
+        )
+
     def _drop_batches(self, batches: list[Batch]) -> None:
         job_id = batches[0].job.job_id
         remaining = [batch for batch in self.batches_by_id(job_id) if batch not in batches]
--- a/tests/test_owners_announced_endpoints.py
+++ b/tests/test_owners_announced_endpoints.py
@@ -50,7 +50,7 @@
 
     def test_of_two_earlier_owners(self) -> None:
         """The second owner may have adopted runs of the first one, so both lists count."""
-        announced = AnnouncedEndpoints()
+        announced = AnnouncedEndpoints(lambda: False)
         announced.note(EndpointList(1, ("w1",)))
         announced.end_owner(0.0, _ENDED_MS)
         announced.begin_owner(announces=True)
@@ -63,15 +63,27 @@
 
     def test_until_the_present_owner_has_announced(self) -> None:
         """An owner that has announced nothing yet may have adopted runs of the earlier one."""
-        announced = AnnouncedEndpoints()
+        announced = AnnouncedEndpoints(lambda: False)
         announced.note(EndpointList(1, ("w1",)))
         announced.end_owner(0.0, _ENDED_MS)
         announced.begin_owner(announces=True)
         assert announced.of_earlier_owners(_ENDED_MS) == ("w1",)
 
+    def test_until_its_runs_have_ended(self) -> None:
+        """The present owner may have adopted a run on an endpoint that it has not announced yet."""
+        open_runs = ["run"]
+        announced = AnnouncedEndpoints(lambda: bool(open_runs))
+        announced.note(EndpointList(1, ("w1",)))
+        announced.end_owner(0.0, _ENDED_MS)
+        announced.begin_owner(announces=True)
+        announced.note(EndpointList(1, ("w2",)))
+        assert announced.of_earlier_owners(_ENDED_MS) == ("w1",)
+        open_runs.clear()
+        assert announced.of_earlier_owners(_ENDED_MS) == ()
+
     def test_owner_of_an_earlier_release(self) -> None:
         """It announces nothing, so the endpoints that it used are unknown."""
-        announced = AnnouncedEndpoints()
+        announced = AnnouncedEndpoints(lambda: False)
         announced.begin_owner(announces=False)
         announced.end_owner(0.0, _ENDED_MS)
         announced.begin_owner(announces=True)
@@ -81,7 +93,7 @@
 
     def test_delayed_list(self) -> None:
         """A list that was delayed does not replace a later one."""
-        announced = AnnouncedEndpoints()
+        announced = AnnouncedEndpoints(lambda: False)
         announced.note(EndpointList(2, ("w1", "w2")))
         announced.note(EndpointList(1, ("w1",)))
         announced.end_owner(0.0, _ENDED_MS)
--- a/tests/test_owners_slow_announcements.py
+++ b/tests/test_owners_slow_announcements.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 """A task on two endpoints: the second of three owners adopted its run where its box had not heard.
 
-The box no longer names the endpoint that the first owner had announced, since that owner's grant
+The second owner's announcement of the run's endpoint arrives too late, and the first owner's grant
 has expired. Simulated zones.
 """
 
@@ -22,7 +22,7 @@
     """A run of the first owner goes on under the second one, which announces its endpoint late."""
 
     def test_third_owner(self, seed: int) -> None:
-        """Known to fail, see KNOWN-RED.txt: the third owner takes the run for lost."""
+        """Its box names the first owner's endpoints until the run has ended."""
         world = run_scenario(seed)
         assert world.unknown_at_handover
         assert world.doubled == []
