Return one condition for the endpoints that a recovery needs

A rename and a condition in place of a list that was only tested for being empty or None; the tests of the announcements and of recovery pass as before.

--- a/src/foldloom/seed_discovery/owners/recovery.py
+++ b/src/foldloom/seed_discovery/owners/recovery.py
@@ -81,20 +81,20 @@
         polled_ms.append(last_polled_ms.get(endpoint, 0.0))
     for run in recovering:
         polled_ms = polled_ms_by_service.get(run.spec.service, [])
-        unknown = _unknown_endpoints(run, candidates, has_ended)
-        if is_lost(run, polled_ms, unknown is not None and not unknown, now_ms):
+        includes_earlier_endpoints = _includes_earlier_endpoints(run, candidates, has_ended)
+        if is_lost(run, polled_ms, includes_earlier_endpoints, now_ms):
             _log_lost(run, len(polled_ms), now_ms)
             lifecycle.finish(run, EndCause.LOST, "", now_ms)
 
 
-def _unknown_endpoints(
+def _includes_earlier_endpoints(
     run: Run, candidates: Mapping[str, ZoneEndpoint], has_ended: Callable[[str], bool]
-) -> list[str] | None:
-    """Return the endpoints that may have *run* and are not among *candidates*; ``None`` if any."""
+) -> bool:
+    """Return whether each endpoint that may have *run* is a candidate or has certainly ended."""
     earlier = run.recovery_bound.endpoints
     if earlier is None:
-        return None
-    return [name for name in earlier if name not in candidates and not has_ended(name)]
+        return False
+    return all(name in candidates or has_ended(name) for name in earlier)
 
 
 def _log_lost(run: Run, endpoints: int, now_ms: float) -> None:
