Name acknowledged endpoints what they are

has_announced meant that a box has acknowledged an endpoint, and on_announced that it just has; _must_announce was about a session and _to_announce about endpoints. The comment on the catalog's age repeated the idea that led to the incident: the age says when jobs may be refused for want of an endpoint, no more. NOT_OWNER says what else it means. Renames and comments only.

--- a/src/foldloom/seed_discovery/owners/announced_endpoints.py
+++ b/src/foldloom/seed_discovery/owners/announced_endpoints.py
@@ -14,7 +14,7 @@
 
 
 class AnnouncedEndpoints:
-    """What the present and the earlier owners of one zone have announced to this box.
+    """The lists of endpoints that the owners of one zone have announced to this box.
 
     Args:
         has_earlier_runs: Returns whether an owner before the present one may have started a run
--- a/src/foldloom/seed_discovery/owners/messages.py
+++ b/src/foldloom/seed_discovery/owners/messages.py
@@ -113,7 +113,11 @@
 
 
 class SubmitStatus(IntEnum):
-    """Result of a delivery of runs."""
+    """Result of a delivery of runs.
+
+    ``NOT_OWNER``: the delivery is to be sent again, to the owner at that time. The receiver is not
+    the owner, may not be it any more, or can't take runs of this box yet.
+    """
 
     TAKEN = 0
     REFUSED = 1
--- a/src/foldloom/seed_discovery/owners/order_sender.py
+++ b/src/foldloom/seed_discovery/owners/order_sender.py
@@ -118,7 +118,7 @@
             )
             on_failure()
             return
-        if not self._is_announced(action):
+        if not self._is_acknowledged(action):
             # Placed again when the box acknowledges the announcement.
             outcome = CallOutcome.NOT_SENT
             self._log_refusal(action, CallReply(outcome, detail="the endpoint is not announced"))
@@ -214,7 +214,7 @@
         if present is not None and present is not link:
             present.note_stale_order(now_ms + UNANSWERED_ORDER_TTL_MS)
 
-    def _is_announced(self, action: StartAction) -> bool:
+    def _is_acknowledged(self, action: StartAction) -> bool:
         """Return whether the run's boxes know that it may be on its endpoint.
 
         They tell the next owner, which may not know the endpoint otherwise.
@@ -222,7 +222,9 @@
         run = self._state.current_run(action.run_id.task)
         if run is None:
             return True
-        return all(self._sessions.has_announced(holder, action.endpoint) for holder in run.holders)
+        return all(
+            self._sessions.has_acknowledged(holder, action.endpoint) for holder in run.holders
+        )
 
     def _may_start(self, action: StartAction, now_ms: float) -> bool:
         """Return whether the run is still to be started for a holder with a valid session.
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -62,7 +62,7 @@
         network: Connections to the other boxes.
         is_renewed_session: Whether an earlier session with the same incarnation has expired.
         earlier_endpoints: The endpoints on which earlier owners may have started runs of the box.
-        on_announced: Called when the box has acknowledged announced endpoints.
+        on_acknowledged: Called when the box has acknowledged announced endpoints.
     """
 
     def __init__(
@@ -73,18 +73,18 @@
         network: PeerNetwork,
         is_renewed_session: bool,
         earlier_endpoints: frozenset[str] | None,
-        on_announced: Callable[[], None],
+        on_acknowledged: Callable[[], None],
     ) -> None:
         self.holder = holder
         self.expires_ms = 0.0
         self.earlier_endpoints = earlier_endpoints
-        self.announced_revision = 0
-        self._on_announced = on_announced
-        self._to_announce: EndpointList | None = None
+        self.acknowledged_revision = 0
+        self._on_acknowledged = on_acknowledged
+        self._unacknowledged_list: EndpointList | None = None
         self._zone = zone
         self._token = token
         self._network = network
-        self._must_announce = is_renewed_session
+        self._must_announce_session = is_renewed_session
         self._timeouts = 0
         self._notices: list[Notice] = []
         self._has_notices = asyncio.Event()
@@ -100,23 +100,23 @@
 
     def announce(self, endpoints: EndpointList) -> None:
         """Announce the endpoints on which the owner starts runs."""
-        self._to_announce = endpoints
+        self._unacknowledged_list = endpoints
         self._has_notices.set()
 
     async def run(self) -> None:
         """Send queued notices with retransmission, after announcing a renewed session."""
-        while self._must_announce:
+        while self._must_announce_session:
             try:
                 announcement = SessionBegan(self._zone, self._token)
                 await self._request(announcement)
-                self._must_announce = False
+                self._must_announce_session = False
             except PeerUnreachableError:
                 # Retransmit at once: no end may be sent before the acknowledgement.
                 continue
         while True:
             await self._has_notices.wait()
             notices = self._notices[:_NOTICES_PER_MESSAGE_MAX]
-            announced = self._to_announce
+            announced = self._unacknowledged_list
             message = RunsEnded(
                 self._zone,
                 [notice for notice in notices if isinstance(notice, RunEnd)],
@@ -134,8 +134,8 @@
                 continue
             del self._notices[: len(notices)]
             if announced is not None:
-                self._note_announced(announced, reply)
-            if self._to_announce is None and not any(map(_is_urgent, self._notices)):
+                self._note_acknowledged(announced, reply)
+            if self._unacknowledged_list is None and not any(map(_is_urgent, self._notices)):
                 self._has_notices.clear()
 
     async def _request(self, message: SessionBegan | RunsEnded) -> Any:
@@ -151,13 +151,13 @@
         self._timeouts = _TIMEOUTS_MAX - 1 if is_slow else 0
         return reply
 
-    def _note_announced(self, announced: EndpointList, reply: EndsNoted) -> None:
+    def _note_acknowledged(self, announced: EndpointList, reply: EndsNoted) -> None:
         """Record that the box has acknowledged *announced*, unless it follows another owner."""
-        if self._to_announce is announced:
-            self._to_announce = None
+        if self._unacknowledged_list is announced:
+            self._unacknowledged_list = None
         if reply.is_present_owner:
-            self.announced_revision = announced.revision
-            self._on_announced()
+            self.acknowledged_revision = announced.revision
+            self._on_acknowledged()
 
 
 def _is_urgent(notice: Notice) -> bool:
@@ -181,7 +181,7 @@
         token: The owner's token.
         network: Connections to the other boxes.
         session_ms: Session time from the sending of an acknowledged heartbeat.
-        on_announced: Called when a box has acknowledged announced endpoints.
+        on_acknowledged: Called when a box has acknowledged announced endpoints.
     """
 
     def __init__(
@@ -190,13 +190,13 @@
         token: int,
         network: PeerNetwork,
         session_ms: float,
-        on_announced: Callable[[], None] = _ignore,
+        on_acknowledged: Callable[[], None] = _ignore,
     ) -> None:
         self._zone = zone
         self._token = token
         self._network = network
         self._session_ms = session_ms
-        self._on_announced = on_announced
+        self._on_acknowledged = on_acknowledged
         self._announced = EndpointList()
         # The revision with which each endpoint was added to the list.
         self._revisions: dict[str, int] = {}
@@ -254,7 +254,7 @@
                 self._network,
                 is_renewed_session,
                 earlier_endpoints,
-                self._on_announced,
+                self._on_acknowledged,
             )
             self._sessions[holder] = session
             if self._announced.endpoints:
@@ -283,13 +283,13 @@
         for session in self._sessions.values():
             session.announce(self._announced)
 
-    def has_announced(self, holder: HolderId, endpoint: str) -> bool:
+    def has_acknowledged(self, holder: HolderId, endpoint: str) -> bool:
         """Return whether *holder* has acknowledged the announcement of *endpoint*."""
         session = self._sessions.get(holder)
         revision = self._revisions.get(endpoint)
         if session is None or revision is None:
             return False
-        return session.announced_revision >= revision
+        return session.acknowledged_revision >= revision
 
     def holder_of(self, box: str, now_ms: float) -> HolderId | None:
         """Return the incarnation of *box* whose session is valid, if any."""
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -59,8 +59,9 @@
 _QUEUE_METRICS_INTERVAL_MS = 1_000.0
 # Below the call's timeout, because an unconfirmed stop blocks the renewal of the endpoint's lease.
 _STOP_RETRANSMISSION_MS = 100.0
-# Age at which the catalog counts as complete: two heartbeat intervals of an endpoint.
-_CATALOG_COMPLETE_AFTER_MS = 3_000.0
+# Age of the process before which no job is refused for want of an endpoint: two heartbeat intervals
+# of an endpoint.
+_CATALOG_FILLED_AFTER_MS = 3_000.0
 
 
 class ZoneOwner:
@@ -191,7 +192,7 @@
             return SubmitReply(SubmitStatus.NOT_OWNER, "no session")
         if not self._validity.is_valid(now_ms):
             return SubmitReply(SubmitStatus.NOT_OWNER, "not confirmed")
-        if not self._has_announced_runs(holder, message):
+        if not self._has_acknowledged_endpoints(holder, message):
             return SubmitReply(SubmitStatus.NOT_OWNER, "endpoints not announced")
         earlier_endpoints = self._sessions.earlier_endpoints(holder)
         reply = self._state.submit(holder, message, now_ms, earlier_endpoints)
@@ -336,7 +337,7 @@
 
     def _all_endpoints(self) -> list[EndpointRecord]:
         """Return the endpoints of all zones; none while the catalog may be incomplete."""
-        if self._context.catalog_age_ms() <= _CATALOG_COMPLETE_AFTER_MS:
+        if self._context.catalog_age_ms() <= _CATALOG_FILLED_AFTER_MS:
             return []
         return self._context.catalog.records
 
@@ -358,8 +359,11 @@
             self._update_queue_metrics(now_ms)
             await asyncio.sleep(_TICK_S)
 
-    def _has_announced_runs(self, holder: HolderId, message: SubmitRuns) -> bool:
-        """Return whether *holder* knows the endpoints of the runs of *message* that go on here."""
+    def _has_acknowledged_endpoints(self, holder: HolderId, message: SubmitRuns) -> bool:
+        """Return whether *holder* has acknowledged the endpoints of the delivered runs.
+
+        It tells the next owner of the endpoints of runs that go on.
+        """
         runs = (
             self._state.current_run(
                 TaskId(message.job_id, message.repeat, order.step, order.position)
@@ -367,7 +371,7 @@
             for order in message.orders
         )
         return all(
-            self._sessions.has_announced(holder, run.endpoint)
+            self._sessions.has_acknowledged(holder, run.endpoint)
             for run in runs
             if run is not None and run.endpoint
         )
