Follow a moved line in the table of mechanisms that are taken out

tests/test_broken.py failed in a whole run: the call that records a delivered job has moved from each run to the message with the forwarding of moved runs. The row takes out the call at its new place.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -550,7 +550,7 @@
     Mutation(
         "a start is known until the last box's deadline",
         "seed_discovery/owners/deliveries.py",
-        "self._lifecycle.started.note_delivered(task.job_id, spec.deadline_ms)",
+        "self._lifecycle.started.note_delivered(message.job_id, spec.deadline_ms)",
         "pass",
         _OWNERS_STATE + "TestGivingUp::test_a_start_is_known_to_a_box_that_asks_later",
     ),
