--- a/tests/test_owners_state.py
+++ b/tests/test_owners_state.py
@@ -527,6 +527,8 @@
         state.submit(_E1, submission(deadline_ms=1_500), 0.0)
         state.place(1.0)
         state.submit(_E2, submission(deadline_ms=1_500), 1_400.0)
+        # A run that goes on, or is listed as ended, would show the start as well.
+        state.handle_lease_expiry("w1", 1_450.0)
         state.tick(4_000.0)
         assert state.cancel(_E2, _JOB, 4_000.0)
 
