--- a/review/standins-2/system.py
+++ b/review/standins-2/system.py
@@ -110,6 +110,22 @@
                 async with asyncio.timeout(1.0):
                     await self._runner.cleanup()
 
+    def end(self) -> None:
+        """End this life: everything that runs here dies."""
+        for task in list(self._active):
+            self._end(task, "left")
+        for one in self._tasks:
+            one.cancel()
+
+    async def drain(self, controls: list[str]) -> None:
+        """Say that this worker drains, until a node has acknowledged it."""
+        self.state = "draining"
+        async with ClientSession(timeout=ClientTimeout(total=1.0)) as session:
+            for control in controls:
+                if await self._beat(session, control):
+                    return
+        raise CannotRun(f"no node has acknowledged that {self.name} drains")
+
     async def _lapse(self) -> None:
         while True:
             self._check_lapse()
@@ -125,32 +141,35 @@
         chosen = random.randrange(len(controls))
         async with ClientSession(timeout=ClientTimeout(total=1.0)) as session:
             while True:
-                self._call_seq += 1
-                body = {
-                    "service": SERVICE,
-                    "address": self.address,
-                    "zone": self.zone,
-                    "version": "v1",
-                    "slots": 8,
-                    "state": self.state,
-                    "cold_left_ms": 0,
-                    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
-                    "labels": self._labels,
-                    "clock_ms": int(self.clock_ms()),
-                    "call_seq": self._call_seq,
-                }
-                url = f"http://{controls[chosen]}/foldloom/instances/{self.name}"
-                status = 0
-                with contextlib.suppress(ClientError, TimeoutError, OSError):
-                    async with session.put(url, json=body) as response:
-                        await response.read()
-                        status = response.status
-                if not 200 <= status < 300:
+                if not await self._beat(session, controls[chosen]):
                     chosen = (chosen + 1) % len(controls)
                     await asyncio.sleep(0.1)
                     continue
                 await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
 
+    async def _beat(self, session: ClientSession, control: str) -> bool:
+        """Send one heartbeat; return whether it was acknowledged."""
+        self._call_seq += 1
+        body = {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
+            "labels": self._labels,
+            "clock_ms": int(self.clock_ms()),
+            "call_seq": self._call_seq,
+        }
+        url = f"http://{control}/foldloom/instances/{self.name}"
+        with contextlib.suppress(ClientError, TimeoutError, OSError):
+            async with session.put(url, json=body) as response:
+                await response.read()
+                return 200 <= response.status < 300
+        return False
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get("X-Foldloom-Expected-Instance", self.name) != self.name:
             return web.json_response({}, status=421)
