--- a/review/7/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 from system import BROKEN, HELD, CannotRun, Record, System, Worker, job, main, overlaps
 
-JOB_ID = "00000000000000a7"
+JOB_ID = "00000000000000a6"
 TASKS, TASK_MS, DEADLINE_MS = 8, 7_000, 12_000
 # SYSTEM.md: drain_ms 2,000; "and a little longer".
 DRAIN_S, LONGER_S = 2.0, 0.5
