--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,6 +15,8 @@
 TASKS, TASK_MS, DEADLINE_MS = 8, 7_000, 12_000
 # SYSTEM.md: drain_ms 2,000; "and a little longer".
 DRAIN_S, LONGER_S = 2.0, 0.5
+# `fleetbench kinds`: a kill lasts for_s, 5 s.
+DOWN_S = 3.5
 
 
 async def leave(system: System, worker: Worker) -> None:
@@ -29,7 +31,7 @@
 
 async def case(record: Record, has_trouble: bool) -> int:
     """Play the scenario; return the exit status."""
-    async with System(record, entries="aaabbbcc", workers="aaaabbcc") as system:
+    async with System(record, entries="aaabbbcc", workers="a" * 6 + "b" * 5 + "c" * 5) as system:
         _, owner = system.owner("a")
         sent = asyncio.create_task(
             system.submit(owner, JOB_ID, job(TASKS, TASK_MS, cpu=3_000), DEADLINE_MS)
@@ -41,6 +43,7 @@
             raise CannotRunError("no task has started")
         if has_trouble:
             for worker in leaving:
+                worker.remaining_ms = int((DRAIN_S + LONGER_S) * 1_000)
                 await worker.drain([system.address(name, "control") for name in system.boxes("c")])
                 record.note(f"{worker.name} has told that it drains")
             await asyncio.sleep(DRAIN_S + LONGER_S)
@@ -48,6 +51,8 @@
             await system.kill(down)
             await asyncio.sleep(0.3)
             await asyncio.gather(*(leave(system, worker) for worker in leaving))
+            await asyncio.sleep(DOWN_S)
+            await system.start(down)
         await sent
         found = overlaps(system.runs, record.now_ms())
         for one, other, lasted_ms in found:
