Limit leases beside orphaned runs by when their box was last known to be alive

Callers: a task ran on two endpoints for 150 to 700 ms.

Cause: all runs of a lost box are to end 1,152 ms after its last acknowledged heartbeat. Each new owner counted from its own first report instead: it renewed the leases beside runs that no box had delivered, stopped them after 300 ms, and renewed on while a stop stayed unanswered, since an overdue stop counts for runs of the own term only. Each further loss added an election and a grace.

An owner's heartbeats now say for how long a box may have been lost that holds a run in the zone (OwnerHeartbeat.unconfirmed_ms, last field, -1 from the previous release). The next owner has heard them. Beside an orphaned run a lease ends at that time + session + STOP_OVERDUE_MS + lease, whatever the term, and the owner's own heartbeats pass the time on. Renewal in full returns with the first report without orphaned runs. They are stopped 200 ms before the lease ends if that is earlier than the grace period, and stops are retransmitted after 100 ms instead of 300, for the sake of the other runs on the endpoint. An owner that has heard nothing renews nothing beside such runs.

Ruled out: a shorter grace alone (an unanswered stop breaks it), never renewing (ends the runs of living boxes at each loss of an owner), a bound from the loss of the owner (the box may be lost before it).

test_its_messages_are_read and the recorded encoding gain the new last field; the row of broken.py for silent endpoints follows its moved line.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -54,6 +54,27 @@
 _OVERLOAD = "tests/test_scheduling_overload.py::"
 
 MUTATIONS = [
+    Mutation(
+        "leases beside orphaned runs are limited",
+        "seed_discovery/owners/earlier_terms.py",
+        'return self.orphans_expire_ms if candidate.orphans else float("inf")',
+        'return float("inf")',
+        "tests/test_owners_lost_holders.py::TestLostOwners",
+    ),
+    Mutation(
+        "the time that a lost box was last alive is passed on",
+        "seed_discovery/owners/zone_owner.py",
+        "            self._state.earlier_confirmed_ms(now_ms),\n",
+        "",
+        "tests/test_owners_lost_holders.py::TestLostOwners::test_handed_over_twice",
+    ),
+    Mutation(
+        "an owner tells of boxes that were lost before it",
+        "seed_discovery/owners/zone_owner.py",
+        "            self._sessions.confirmed_ms(self._view.own.box),\n",
+        "",
+        "tests/test_owners_lost_holders.py::TestLostOwners",
+    ),
     Mutation(
         "copy before voting",
         "static_peers/claims/recovery.py",
@@ -726,8 +747,8 @@
     Mutation(
         "a silent endpoint's lease is not renewed",
         "seed_discovery/owners/endpoint_link.py",
-        "            and not self._is_silent\n",
-        "",
+        "renews = not self._is_silent and ",
+        "renews = ",
         _ENDPOINT_LINK + "TestSilentEndpoint::test_its_lease_lapses",
     ),
     Mutation(
--- a/src/foldloom/seed_discovery/entry_box.py
+++ b/src/foldloom/seed_discovery/entry_box.py
@@ -213,5 +213,6 @@
             catalog_age_ms=lambda: monotonic_ms() - self._started_ms,
             bindings_from_others=self._client.bindings_from_others,
             overload=self._overload,
+            holders_confirmed_ms=self._client.holders_confirmed_ms,
         )
         return ZoneOwner(record, context, self._elector.note_fenced)
--- a/src/foldloom/seed_discovery/fleet/messages.py
+++ b/src/foldloom/seed_discovery/fleet/messages.py
@@ -176,6 +176,8 @@
         load: The load of its zone.
         announces_endpoints: Whether it announces endpoints to a box before it starts runs of the
             box there; ``False`` from an earlier release.
+        unconfirmed_ms: For how long a box that holds a run in the zone may have been lost; -1 if
+            not known, as from an earlier release.
     """
 
     owner: OwnerRecord
@@ -184,6 +186,7 @@
     published_version: int = 0
     load: ZoneLoad = ZoneLoad()
     announces_endpoints: bool = False
+    unconfirmed_ms: int = -1
 
 
 class HeartbeatAck(NamedTuple):
--- a/src/foldloom/seed_discovery/owners/client.py
+++ b/src/foldloom/seed_discovery/owners/client.py
@@ -21,6 +21,7 @@
 from foldloom.seed_discovery.owners.batches import Batch
 from foldloom.seed_discovery.owners.cancels import Cancels
 from foldloom.seed_discovery.owners.connection import LostRun, OwnerConnection
+from foldloom.seed_discovery.owners.holder_confirmations import NEVER_MS
 from foldloom.seed_discovery.owners.lease import run_expiry_ms
 from foldloom.seed_discovery.owners.messages import (
     EndCause,
@@ -107,6 +108,14 @@
         """Return the bindings to endpoints of *zone* that its owner with *token* did not report."""
         return self._histories.bindings_from_others(zone, token)
 
+    def holders_confirmed_ms(self, zone: str) -> float:
+        """Return when all boxes that hold runs in *zone* were last known to be alive.
+
+        As heard from the owners of *zone*; minus infinity if not known.
+        """
+        connection = self._connections.get(zone)
+        return NEVER_MS if connection is None else connection.holders_confirmed_ms
+
     def handle_heartbeat(self, heartbeat: OwnerHeartbeat, published_version: int) -> None:
         """Handle a heartbeat from the owner of any zone."""
         connection = self._connections.get(heartbeat.owner.zone)
--- a/src/foldloom/seed_discovery/owners/connection.py
+++ b/src/foldloom/seed_discovery/owners/connection.py
@@ -25,6 +25,7 @@
 from foldloom.seed_discovery.owners.announced_endpoints import AnnouncedEndpoints
 from foldloom.seed_discovery.owners.batches import Batch
 from foldloom.seed_discovery.owners.grant import Grant
+from foldloom.seed_discovery.owners.holder_confirmations import HolderConfirmations
 from foldloom.seed_discovery.owners.messages import (
     EndpointBinding,
     EndpointList,
@@ -86,6 +87,7 @@
         self._histories = histories
         self._owner = OwnerRecord(zone)
         self._grant = Grant(timings)
+        self._confirmations = HolderConfirmations()
         self._announced = AnnouncedEndpoints(self._has_earlier_runs)
         self._batches: dict[str, list[Batch]] = {}
         # Of runs that this box has cancelled, and of runs that only the owner's box has delivered.
@@ -105,6 +107,11 @@
         """Milliseconds since the owner's newest heartbeat."""
         return self._grant.silent_ms(monotonic_ms())
 
+    @property
+    def holders_confirmed_ms(self) -> float:
+        """When all boxes that hold runs in the zone were last known to be alive."""
+        return self._confirmations.confirmed_ms
+
     def handle_heartbeat(self, heartbeat: OwnerHeartbeat, published_version: int) -> None:
         """Acknowledge a heartbeat and renew the grant; deliver open runs to a new owner."""
         if heartbeat.owner.token < self._owner.token:
@@ -120,6 +127,7 @@
                 self._announced.end_owner(now_ms, self._grant.lapses_ms)
             self._announced.begin_owner(heartbeat.announces_endpoints)
         self._owner = heartbeat.owner
+        self._confirmations.note(heartbeat, now_ms)
         self.load = heartbeat.load
         ack = HeartbeatAck(
             heartbeat.owner.token,
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -21,7 +21,7 @@
     PollReply,
 )
 from foldloom.seed_discovery.endpoints.records import EndpointRecord
-from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, EndpointClock
+from foldloom.seed_discovery.owners.lease import LAPSE_MARGIN_MS, EndpointClock, lease_within
 
 # Long-poll wait; short enough that two polls may be lost before a lease of default length expires.
 _POLL_WAIT_MS = 200
@@ -84,6 +84,9 @@
     def may_renew(self, endpoint: str, now_ms: float) -> bool:
         """Return whether the lease of *endpoint* may be renewed."""
 
+    def lease_limit_ms(self, endpoint: str) -> float:
+        """Return by when a lease of *endpoint* must have expired; infinity without a limit."""
+
     def handle_report(self, report: EndpointReport, now_ms: float) -> None:
         """Handle an endpoint's report."""
 
@@ -160,6 +163,7 @@
         self._is_silent = False
         self._is_expiry_taken = False
         self._is_over = False
+        self._is_lease_limited = False
 
     @property
     def is_silent(self) -> bool:
@@ -185,10 +189,28 @@
         return classify_answer(answer_born_ms, self.born_ms, self.clock.is_known)
 
     def order_until(self, now_ms: float) -> int:
-        """Return the expiry of a new lease by the endpoint's clock; 0 while that is unknown."""
+        """Return the expiry of a new lease by the endpoint's clock.
+
+        0 while that clock is unknown, and if the owner allows no lease any more.
+        """
         if not self.clock.is_known:
             return 0
-        return self.clock.order_until(now_ms, self._lease_durations.lease_ms)
+        limit_ms = self._owner.lease_limit_ms(self.record.endpoint)
+        self._note_lease_limit(limit_ms, now_ms)
+        lease_ms = lease_within(self._lease_durations.lease_ms, limit_ms - now_ms)
+        return 0 if lease_ms <= 0 else self.clock.order_until(now_ms, lease_ms)
+
+    def _note_lease_limit(self, limit_ms: float, now_ms: float) -> None:
+        """Log that the endpoint's lease is limited, or is not limited any more."""
+        if (limit_ms < float("inf")) == self._is_lease_limited:
+            return
+        self._is_lease_limited = not self._is_lease_limited
+        ENDPOINT_LOG.event(
+            "lease.limited" if self._is_lease_limited else "lease.unlimited",
+            endpoint=self.record.endpoint,
+            token=self._lease_durations.token,
+            left_ms=int(max(limit_ms - now_ms, 0)) if self._is_lease_limited else None,
+        )
 
     def take_lease_expiry(self, now_ms: float) -> bool:
         """Return whether all leases have certainly expired; true once until the next answer."""
@@ -321,13 +343,9 @@
         Polls to a silent endpoint do not renew its lease: they may still be carried out, and the
         lease would never expire.
         """
-        renews = (
-            self.clock.is_known
-            and not self._is_silent
-            and self._owner.may_renew(self.record.endpoint, now_ms)
-        )
+        renews = not self._is_silent and self._owner.may_renew(self.record.endpoint, now_ms)
         until_ms = self.order_until(now_ms) if renews else 0
-        wait_ms = _POLL_WAIT_MS if renews else 0
+        wait_ms = _POLL_WAIT_MS if until_ms else 0
         # After a failed poll, the next answer may come from a new incarnation, which numbers its
         # ends from 1 again and would drop those up to an acknowledged number.
         seen = self._last_sequence if self._last_poll_succeeded else 0
--- a/src/foldloom/seed_discovery/owners/lease.py
+++ b/src/foldloom/seed_discovery/owners/lease.py
@@ -74,6 +74,11 @@
     return lease_ms / _CLOCK_RATE_MIN
 
 
+def lease_within(lease_ms: float, real_ms: float) -> float:
+    """Return the longest lease, up to *lease_ms*, that certainly expires within *real_ms*."""
+    return min(lease_ms, real_ms * _CLOCK_RATE_MIN)
+
+
 def run_expiry_ms(lease_ms: float) -> float:
     """Return how long a run may remain on an endpoint after the end of the owner's session.
 
--- a/src/foldloom/seed_discovery/owners/lease_expiry.py
+++ b/src/foldloom/seed_discovery/owners/lease_expiry.py
@@ -14,6 +14,7 @@
     """Finish the runs on *candidate*: every lease there has certainly expired."""
     endpoint = candidate.record.endpoint
     candidate.has_current_report = False
+    candidate.has_reported = True
     candidate.orphans.clear()
     for task in candidate.resources.tasks:
         run = lifecycle.get(task)
--- a/src/foldloom/seed_discovery/owners/reports.py
+++ b/src/foldloom/seed_discovery/owners/reports.py
@@ -22,6 +22,13 @@
 
 # Gives entry boxes time to deliver their open runs to a new owner, even if heartbeats are lost.
 ORPHAN_GRACE_MS = 300.0
+# The same where the lease beside an orphaned run can't be renewed for long: one lost heartbeat.
+_ORPHAN_GRACE_MIN_MS = 150.0
+# Before such a lease expires, a stop order can be sent, retransmitted and confirmed by a report, so
+# that the lease is renewed again in time for the other runs on the endpoint.
+_STOP_BEFORE_EXPIRY_MS = 200.0
+# Retransmission timeout of the stop order of an orphaned run.
+_ORPHAN_STOP_RETRANSMISSION_MS = 100.0
 
 
 class ListedEnd(Enum):
@@ -83,18 +90,32 @@
     _reconcile_absent(lifecycle, candidate, present, report.polled_ms, now_ms)
 
 
+def orphan_stop_due_ms(orphan: OrphanedRun, expire_ms: float) -> float:
+    """Return when the next stop order of *orphan* is due.
+
+    Args:
+        orphan: The orphaned run.
+        expire_ms: By when the leases beside orphaned runs expire.
+    """
+    if orphan.stop_sent_ms:
+        return orphan.stop_sent_ms + _ORPHAN_STOP_RETRANSMISSION_MS
+    earliest_ms = orphan.noted_ms + _ORPHAN_GRACE_MIN_MS
+    latest_ms = orphan.noted_ms + ORPHAN_GRACE_MS
+    return min(latest_ms, max(earliest_ms, expire_ms - _STOP_BEFORE_EXPIRY_MS))
+
+
 def orphans_to_stop(
-    candidates: Mapping[str, ZoneEndpoint], now_ms: float
+    candidates: Mapping[str, ZoneEndpoint], expire_ms: float, now_ms: float
 ) -> list[tuple[str, RunId]]:
-    """Return the endpoint and id of each run that has been orphaned beyond the grace period.
+    """Return the endpoint and id of each orphaned run whose stop order is due.
 
-    A run that stays orphaned is returned again after each further grace period.
+    A run that stays orphaned is returned again for each retransmission.
     """
     due = []
     for endpoint, candidate in candidates.items():
         for task, known in candidate.orphans.items():
-            if now_ms - known.noted_ms > ORPHAN_GRACE_MS:
-                candidate.orphans[task] = known._replace(noted_ms=now_ms)
+            if now_ms > orphan_stop_due_ms(known, expire_ms):
+                candidate.orphans[task] = known._replace(stop_sent_ms=now_ms)
                 due.append((endpoint, RunId(task, known.attempt)))
     return due
 
--- a/src/foldloom/seed_discovery/owners/sessions.py
+++ b/src/foldloom/seed_discovery/owners/sessions.py
@@ -216,6 +216,19 @@
             for holder, session in self._sessions.items()
         )
 
+    def confirmed_ms(self, own_box: str) -> float:
+        """Return when all boxes with a session, except *own_box*, were last known to be alive.
+
+        That is when the oldest of the heartbeats was sent that they have acknowledged last;
+        infinity without a session.
+        """
+        expiries_ms = [
+            session.expires_ms
+            for holder, session in self._sessions.items()
+            if holder.box != own_box
+        ]
+        return min(expiries_ms, default=float("inf")) - self._session_ms
+
     def is_stale_ack(self, holder: HolderId, heartbeat_sent_ms: float) -> bool:
         """Return whether another incarnation of the box has acknowledged a newer heartbeat.
 
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -19,6 +19,7 @@
 from foldloom.seed_discovery.owners.admission import Admission
 from foldloom.seed_discovery.owners.crashed_endpoints import end_runs_over_crash_limit, note_crash
 from foldloom.seed_discovery.owners.deliveries import Deliveries, newest_delivery
+from foldloom.seed_discovery.owners.earlier_terms import EarlierTerms
 from foldloom.seed_discovery.owners.lease_expiry import finish_expired, has_overdue_stop
 from foldloom.seed_discovery.owners.lifecycle import RunLifecycle
 from foldloom.seed_discovery.owners.loads import zone_load
@@ -62,6 +63,7 @@
             incomplete.
         overload: The rejection of new jobs while this box is late.
         has_ended: Returns whether an endpoint that is not a candidate has certainly ended.
+        earlier_terms: What is known of the zone's earlier owners.
     """
 
     def __init__(
@@ -70,8 +72,10 @@
         all_endpoints: Callable[[], Sequence[EndpointRecord]] = tuple,
         overload: OverloadControl | None = None,
         has_ended: Callable[[str], bool] = _never,
+        earlier_terms: EarlierTerms | None = None,
     ) -> None:
         self._has_ended = has_ended
+        self._earlier_terms = earlier_terms or EarlierTerms()
         self._candidates: dict[str, ZoneEndpoint] = {}
         self._last_polled_ms: dict[str, float] = {}
         self.actions = Actions()
@@ -325,6 +329,31 @@
         candidate = self._candidates.get(endpoint)
         return candidate is not None and has_overdue_stop(self._lifecycle, candidate, before_ms)
 
+    def lease_limit_ms(self, endpoint: str) -> float:
+        """Return by when a lease of *endpoint* must have expired; infinity without a limit."""
+        candidate = self._candidates.get(endpoint)
+        return float("inf") if candidate is None else self._earlier_terms.lease_limit_ms(candidate)
+
+    def earlier_confirmed_ms(self, now_ms: float) -> float:
+        """Return when the boxes of earlier terms' runs were last known to be alive.
+
+        Infinity if no such run is on an endpoint, but for those that boxes have delivered.
+        """
+        has_runs = self._earlier_terms.may_have_runs(self._candidates.values(), now_ms)
+        return self._earlier_terms.confirmed_ms if has_runs else float("inf")
+
+    @property
+    def unwanted_since_ms(self) -> float:
+        """Since when a run has been stopping that no box wants; infinity if there is none."""
+        return min(
+            (
+                run.since_ms
+                for run in self._lifecycle.in_state(RunState.STOPPING)
+                if not run.holders
+            ),
+            default=float("inf"),
+        )
+
     def report(self, report: EndpointReport, now_ms: float) -> None:
         """Reconcile the runs with an endpoint's report."""
         candidate = self._candidates.get(report.endpoint)
@@ -339,6 +368,7 @@
                 self._unanswered_starts.discard(active.run_id, report.endpoint)
         self._last_polled_ms[report.endpoint] = report.polled_ms
         candidate.has_current_report = candidate.has_current_record(report.born_ms)
+        candidate.has_reported = True
         candidate.note_polled(report.polled_ms)
         candidate.is_silent = False
         candidate.mark_alive()
@@ -381,7 +411,8 @@
             self._has_ended,
             now_ms,
         )
-        for endpoint, run_id in orphans_to_stop(self._candidates, now_ms):
+        orphans_expire_ms = self._earlier_terms.orphans_expire_ms
+        for endpoint, run_id in orphans_to_stop(self._candidates, orphans_expire_ms, now_ms):
             self.actions.stop(StopAction(run_id, endpoint))
         retire_unattainable(self._lifecycle, now_ms)
         handle_stragglers(self._lifecycle, self._last_polled_ms, now_ms)
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -26,6 +26,7 @@
 from foldloom.seed_discovery.jobs.spec import TaskId
 from foldloom.seed_discovery.owners.context import OwnerContext
 from foldloom.seed_discovery.owners.decision_log import log_cancel, log_delivery, log_end
+from foldloom.seed_discovery.owners.earlier_terms import earlier_terms
 from foldloom.seed_discovery.owners.endpoint_link import LeaseDurations
 from foldloom.seed_discovery.owners.endpoint_links import EndpointLinks
 from foldloom.seed_discovery.owners.heartbeats import HeartbeatSender
@@ -77,6 +78,8 @@
         self, record: OwnerRecord, context: OwnerContext, on_fenced: Callable[[str], None]
     ) -> None:
         timings = context.timings
+        began_ms = monotonic_ms()
+        confirmed_ms = context.holders_confirmed_ms(record.zone)
         self._record = record
         self._context = context
         self._view = context.view
@@ -88,6 +91,7 @@
             self._all_endpoints,
             context.overload,
             self._has_ended,
+            earlier_terms(confirmed_ms, began_ms, timings),
         )
         self._sessions = Sessions(
             record.zone,
@@ -96,7 +100,7 @@
             timings.session_ms,
             self._execute_actions,
         )
-        self._validity = TermValidity(timings.session_ms, monotonic_ms())
+        self._validity = TermValidity(timings.session_ms, began_ms)
         lease_ms = float(timings.endpoint_lease_ms)
         lease_durations = LeaseDurations(
             record.token,
@@ -112,7 +116,11 @@
         )
         self._offers = OfferSender(record, self._state, context)
         self._heartbeats = HeartbeatSender(
-            record, context, lambda: self.load, lambda: self._offers.other_owners
+            record,
+            context,
+            lambda: self.load,
+            lambda: self._offers.other_owners,
+            self._holders_confirmed_ms,
         )
         self._tasks = TaskSet()
         self._queue_metrics_due_ms = 0.0
@@ -278,6 +286,14 @@
             return False
         return not self._state.has_overdue_stop(endpoint, now_ms - STOP_OVERDUE_MS)
 
+    def lease_limit_ms(self, endpoint: str) -> float:
+        """Return by when a lease of *endpoint* must have expired; infinity without a limit.
+
+        A run that no box has delivered may be of a box that was lost together with an earlier
+        owner. It has to end as early as if that owner had been there to stop it.
+        """
+        return self._state.lease_limit_ms(endpoint)
+
     def handle_report(self, report: EndpointReport, now_ms: float) -> None:
         """Handle an endpoint's report."""
         if self._is_closed:
@@ -359,6 +375,19 @@
             self._update_queue_metrics(now_ms)
             await asyncio.sleep(_TICK_S)
 
+    def _holders_confirmed_ms(self, now_ms: float) -> float:
+        """Return when all boxes that hold runs in the zone were last known to be alive.
+
+        A run that no box wants may be of one whose session has expired: it was last known to be
+        alive a session before that.
+        """
+        return min(
+            now_ms,
+            self._sessions.confirmed_ms(self._view.own.box),
+            self._state.unwanted_since_ms - self._context.timings.session_ms,
+            self._state.earlier_confirmed_ms(now_ms),
+        )
+
     def _has_acknowledged_endpoints(self, holder: HolderId, message: SubmitRuns) -> bool:
         """Return whether *holder* has acknowledged the endpoints of the delivered runs.
 
--- a/src/foldloom/seed_discovery/scheduling/endpoints.py
+++ b/src/foldloom/seed_discovery/scheduling/endpoints.py
@@ -19,18 +19,21 @@
 
     Args:
         attempt: The attempt of its task.
-        noted_ms: When it was first reported, or when the last stop order was sent.
+        noted_ms: When it was first reported.
+        stop_sent_ms: When the last stop order was sent; 0 before the first one.
     """
 
     attempt: int
     noted_ms: float
+    stop_sent_ms: float = 0.0
 
 
 class ZoneEndpoint:
     """An endpoint as a candidate for placement.
 
     ``unresponsive_at_ms`` is when it did not respond to a check before a start; 0 if it has since.
-    ``heard_since_ms`` is since when it has reported without a silence.
+    ``heard_since_ms`` is since when it has reported without a silence; ``has_reported`` is whether
+    the present incarnation has reported or its leases have expired, so that its runs are known.
     ``has_crashed`` is set once the present incarnation is known to have ended; ``lapsed_tasks``
     are the tasks whose leases expired before such a crash was confirmed.
 
@@ -42,6 +45,7 @@
         self.record = record
         self.resources = EndpointCapacity(record.capacity)
         self.has_current_report = False
+        self.has_reported = False
         self.is_silent = False
         self.backoff_until_ms = 0.0
         self.unresponsive_at_ms = 0.0
@@ -84,6 +88,7 @@
     def begin_incarnation(self) -> None:
         """Reset the state of the previous incarnation; allocations stay until the next report."""
         self.has_current_report = False
+        self.has_reported = False
         self.is_silent = False
         self.backoff_until_ms = 0.0
         self.unresponsive_at_ms = 0.0
--- a/tests/models/zones_world.py
+++ b/tests/models/zones_world.py
@@ -154,6 +154,7 @@
             published_version=lambda: 1,
             catalog_age_ms=lambda: self._world.catalog_age_ms(self._started_ms),
             bindings_from_others=self.client.bindings_from_others,
+            holders_confirmed_ms=self.client.holders_confirmed_ms,
         )
         return ZoneOwner(record, context, self.elector.note_fenced)
 
--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -64,6 +64,10 @@
         """Agree."""
         return True
 
+    def lease_limit_ms(self, _endpoint: str) -> float:
+        """Return infinity: no limit."""
+        return float("inf")
+
     def handle_report(self, report: EndpointReport, _now_ms: float) -> None:
         """Record a report."""
         self.reports.append(report)
@@ -229,6 +233,10 @@
         """Agree."""
         return True
 
+    def lease_limit_ms(self, _endpoint: str) -> float:
+        """Return infinity: no limit."""
+        return float("inf")
+
     def handle_report(self, report: EndpointReport, now_ms: float) -> None:
         """Apply a report to the state."""
         self.state.report(report, now_ms)
--- a/tests/test_owners_messages.py
+++ b/tests/test_owners_messages.py
@@ -14,6 +14,7 @@
     HeartbeatAck,
     OwnerHeartbeat,
     OwnerRecord,
+    ZoneLoad,
 )
 from foldloom.seed_discovery.jobs.spec import RunId, TaskId
 from foldloom.seed_discovery.owners.messages import (
@@ -40,7 +41,7 @@
 _ANNOUNCED = EndpointList(3, ("w1", "w2"))
 _ENDS = RunsEnded("z", [_END], 7, (_CRASHES,), (_BINDING,), (_START,), (_START,), _ANNOUNCED)
 _BOX = BoxRecord("10.0.0.1:1", 1, "z", ENTRY)
-_HEARTBEAT = OwnerHeartbeat(OwnerRecord("z", 7, "10.0.0.1:1", 1), _BOX, 5, announces_endpoints=True)
+_HEARTBEAT = OwnerHeartbeat(OwnerRecord("z", 7, "10.0.0.1:1", 1), _BOX, 5, 0, ZoneLoad(), True, 150)
 _ACK = HeartbeatAck(7, 5, _BOX, 0, ("w1",))
 
 
@@ -59,7 +60,8 @@
             (_SUBMISSION, 15, ((), False)),
             (_SUBMISSION, 16, (False,)),
             (EndsNoted(False), 0, (True,)),
-            (_HEARTBEAT, 5, (False,)),
+            (_HEARTBEAT, 5, (False, -1)),
+            (_HEARTBEAT, 6, (-1,)),
             (_ACK, 4, (None,)),
         ],
     )
