Wait for the end of a deregistered endpoint before its tasks start elsewhere

Callers: a task ran on two endpoints for up to 350 ms.

Cause: an endpoint whose id is never reused counted as ended once it had deregistered. Its owner finished its runs as lapsed at once, and their tasks started elsewhere 2 ms later. A deregistration announces the end; without a late answer the same order of events held by luck. The same cause: a new owner took recovering runs there for lost (ZoneOwner._has_ended), and dropped one that it had never polled (EndpointLinks._can_drop, _close).

Such an endpoint is now polled until it has reported no runs, nothing listens at its address, another id answers there, or its leases have expired. Its runs are ordered to stop at once, in the handling of the controller's notice, and its lease is renewed no more. A run that its owner has stopped is placed again by the owner, as the next attempt; no crash is counted, since the endpoint is not ready.

Ruled out: an answer that does not wait for silent boxes. The second start would still come before the end by one message or less, and a box that is only cut off from the controller could start more work there.

TestFarewell::test_of_an_id_that_is_of_one_life asserted that the runs end at once, which is the fault. TestFarewellForGood replaces it: still there, done, ended, silent, and not yet reported; all five fail on the old logic.

--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -54,6 +54,27 @@
 _OVERLOAD = "tests/test_scheduling_overload.py::"
 
 MUTATIONS = [
+    Mutation(
+        "a deregistration is no end",
+        "seed_discovery/owners/endpoint_links.py",
+        "return self._links[endpoint].is_over or (candidate.is_idle and candidate.has_reported)",
+        "return self._catalog.get(endpoint) is not None or candidate.is_idle",
+        _ENDPOINT_LINK + "TestFarewellForGood::test_it_is_still_there",
+    ),
+    Mutation(
+        "an endpoint that has not reported may have runs",
+        "seed_discovery/owners/endpoint_links.py",
+        "(candidate.is_idle and candidate.has_reported)",
+        "candidate.is_idle",
+        _ENDPOINT_LINK + "TestFarewellForGood::test_it_has_not_reported",
+    ),
+    Mutation(
+        "a deregistered endpoint that nothing listens for has ended",
+        "seed_discovery/owners/endpoint_link.py",
+        "has_left = outcome is CallOutcome.NO_LISTENER and self.record.has_left",
+        "has_left = False",
+        _ENDPOINT_LINK + "TestFarewellForGood::test_it_has_ended",
+    ),
     Mutation(
         "leases beside orphaned runs are limited",
         "seed_discovery/owners/earlier_terms.py",
@@ -828,7 +849,7 @@
     Mutation(
         "a farewell ends no run of a life that answers",
         "seed_discovery/owners/endpoint_links.py",
-        "return not link.born_ms or link.is_over or self._state.candidates[endpoint].is_idle",
+        "return self._links[endpoint].is_over or (candidate.is_idle and candidate.has_reported)",
         "return True",
         "tests/test_owners_endpoint_link.py::TestFarewell::test_of_the_life_before",
     ),
--- a/src/foldloom/seed_discovery/endpoints/records.py
+++ b/src/foldloom/seed_discovery/endpoints/records.py
@@ -49,6 +49,14 @@
     remaining_ms: int = 0
     born_ms: int = 0
 
+    @property
+    def has_left(self) -> bool:
+        """Whether it has deregistered for good: its id is never reused.
+
+        It ends soon, but may still have runs.
+        """
+        return self.state is EndpointState.GONE and not self.born_ms
+
     def is_equivalent_to(self, other: EndpointRecord) -> bool:
         """Return whether *other* differs only in ``sequence`` and the remaining times."""
         return self._replace(sequence=0, cold_left_ms=0, remaining_ms=0) == other._replace(
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -172,7 +172,10 @@
 
     @property
     def is_over(self) -> bool:
-        """Whether this incarnation has certainly ended: another id answered at its address."""
+        """Whether this incarnation has certainly ended.
+
+        Another id answered at its address, or nothing listens there after it has deregistered.
+        """
         return self._is_over
 
     @property
@@ -202,15 +205,16 @@
 
     def _note_lease_limit(self, limit_ms: float, now_ms: float) -> None:
         """Log that the endpoint's lease is limited, or is not limited any more."""
-        if (limit_ms < float("inf")) == self._is_lease_limited:
+        is_limited = limit_ms < float("inf")
+        if is_limited == self._is_lease_limited:
             return
-        self._is_lease_limited = not self._is_lease_limited
-        ENDPOINT_LOG.event(
-            "lease.limited" if self._is_lease_limited else "lease.unlimited",
-            endpoint=self.record.endpoint,
-            token=self._lease_durations.token,
-            left_ms=int(max(limit_ms - now_ms, 0)) if self._is_lease_limited else None,
-        )
+        self._is_lease_limited = is_limited
+        endpoint, token = self.record.endpoint, self._lease_durations.token
+        if not is_limited:
+            ENDPOINT_LOG.event("lease.unlimited", endpoint=endpoint, token=token)
+            return
+        left_ms = int(max(0.0, limit_ms - now_ms))
+        ENDPOINT_LOG.event("lease.limited", endpoint=endpoint, token=token, left_ms=left_ms)
 
     def take_lease_expiry(self, now_ms: float) -> bool:
         """Return whether all leases have certainly expired; true once until the next answer."""
@@ -277,7 +281,7 @@
                 continue
             if reply.outcome is CallOutcome.FENCED:
                 self._owner.note_fenced(self.record.endpoint)
-            elif reply.outcome is CallOutcome.OTHER_LIFE:
+            elif self._shows_end(reply.outcome):
                 self._end()
                 return
             else:
@@ -303,7 +307,7 @@
             return False
         if reply.outcome is CallOutcome.FENCED:
             self._owner.note_fenced(endpoint)
-        elif reply.outcome is CallOutcome.OTHER_LIFE:
+        elif self._shows_end(reply.outcome):
             self._end()
         elif reply.outcome is CallOutcome.DONE and answer_source is AnswerSource.THIS:
             now_ms = monotonic_ms()
@@ -315,6 +319,11 @@
         self._owner.note_unresponsive(endpoint)
         return False
 
+    def _shows_end(self, outcome: CallOutcome) -> bool:
+        """Return whether *outcome* shows that this incarnation has certainly ended."""
+        has_left = outcome is CallOutcome.NO_LISTENER and self.record.has_left
+        return has_left or outcome is CallOutcome.OTHER_LIFE
+
     def _end(self) -> None:
         """Report that this incarnation has ended."""
         self._is_over = True
--- a/src/foldloom/seed_discovery/owners/endpoint_links.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_links.py
@@ -14,7 +14,7 @@
 from foldloom.logs import ENDPOINT_LOG
 from foldloom.seed_discovery.endpoints.calls import EndpointCalls
 from foldloom.seed_discovery.endpoints.catalog import EndpointCatalog
-from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
+from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.owners.endpoint_link import (
     AnswerSource,
     EndpointLink,
@@ -70,7 +70,10 @@
         return self._links.get(endpoint)
 
     def has_ended(self, endpoint: str) -> bool:
-        """Return whether *endpoint* has lost its link because it has certainly ended."""
+        """Return whether *endpoint* has lost its link and certainly has no run.
+
+        It has ended, or has deregistered for good and had no runs left.
+        """
         return endpoint in self._ended_ms and endpoint not in self._links
 
     def close(self) -> None:
@@ -83,9 +86,10 @@
     def sync_with_catalog(self, now_ms: float) -> None:
         """Open links to added endpoints and close those to removed ones.
 
-        A deregistration does not name its incarnation and may be delayed. An endpoint with a known
-        start time that still has runs is therefore polled until they have ended or their leases
-        have expired, so that no run starts a second time elsewhere.
+        A deregistration announces the end of an endpoint, and may be a delayed one of an earlier
+        incarnation. A removed endpoint is therefore polled until it has no runs, or until it has
+        certainly ended, so that no run starts a second time elsewhere. If it never returns under
+        its id, its runs are stopped.
         """
         records = {
             record.endpoint: record for record in self._catalog.records if record.zone == self._zone
@@ -108,8 +112,12 @@
                 self._close(endpoint, now_ms)
                 continue
             removed = self._catalog.get(endpoint)
-            if removed is not None:
-                self._state.update_endpoint(removed)
+            if removed is None:
+                continue
+            self._state.update_endpoint(removed)
+            if removed.has_left:
+                self._links[endpoint].record = removed
+                self._state.stop_runs(endpoint, now_ms)
 
     def _expire_ended(self, now_ms: float) -> None:
         while self._ended_ms:
@@ -119,9 +127,12 @@
             del self._ended_ms[endpoint]
 
     def _can_drop(self, endpoint: str) -> bool:
-        """Return whether an endpoint that the catalog has removed can be dropped."""
-        link = self._links[endpoint]
-        return not link.born_ms or link.is_over or self._state.candidates[endpoint].is_idle
+        """Return whether an endpoint that the catalog has removed can be dropped.
+
+        An endpoint that has not reported may have runs of an earlier owner.
+        """
+        candidate = self._state.candidates[endpoint]
+        return self._links[endpoint].is_over or (candidate.is_idle and candidate.has_reported)
 
     def begin_incarnation(self, endpoint: str, born_ms: int) -> None:
         """Open a link to an incarnation of *endpoint* that answered before its first heartbeat."""
@@ -165,14 +176,12 @@
         self._tasks[endpoint] = asyncio.create_task(link.run())
 
     def _close(self, endpoint: str, now_ms: float) -> None:
-        """Drop a removed endpoint; its runs end with it."""
+        """Drop a removed endpoint that has ended or has no runs."""
         link = self._links.pop(endpoint)
         link.close()
-        # Whether an endpoint that reuses its id has ended is not certain from a deregistration. One
-        # that was evicted, and so is in no record, may only be out of this box's reach.
+        # One that was evicted, and so is in no record, may only be out of this box's reach.
         removed = self._catalog.get(endpoint)
-        is_deregistered = removed is not None and removed.state is EndpointState.GONE
-        if link.is_over or (is_deregistered and not link.born_ms):
+        if link.is_over or (removed is not None and removed.has_left):
             self._ended_ms.pop(endpoint, None)
             self._ended_ms[endpoint] = now_ms
         self._tasks.pop(endpoint).cancel()
--- a/src/foldloom/seed_discovery/owners/state.py
+++ b/src/foldloom/seed_discovery/owners/state.py
@@ -243,8 +243,19 @@
             return
         known.update_record(record)
 
+    def stop_runs(self, endpoint: str, now_ms: float) -> None:
+        """Order the stop of all runs on an endpoint that has deregistered, except starting ones.
+
+        They would end with the endpoint. A confirmed stop shows when, so that their tasks can start
+        elsewhere at once.
+        """
+        for task in self._candidates[endpoint].resources.tasks:
+            run = self._lifecycle.get(task)
+            if run is not None and run.endpoint == endpoint and run.state is RunState.RUNNING:
+                self._lifecycle.stop(run, now_ms)
+
     def remove_endpoint(self, endpoint: str, now_ms: float) -> None:
-        """Remove an endpoint whose incarnation has certainly ended, and finish its runs."""
+        """Remove an endpoint that has certainly ended or has no runs; finish those it had."""
         self.handle_lease_expiry(endpoint, now_ms)
         self._unanswered_starts.end_incarnation(endpoint)
         self._candidates.pop(endpoint, None)
@@ -311,7 +322,7 @@
             note_crash(self._lifecycle, candidate, now_ms)
 
     def handle_other_id(self, endpoint: str, now_ms: float) -> None:
-        """Handle an answer by another id at the address of *endpoint*.
+        """Handle an answer by another id, or by none any more, at the address of *endpoint*.
 
         The incarnation has ended, and no order meant for it can be executed any more.
         """
@@ -324,6 +335,11 @@
         if candidate is not None:
             finish_expired(self._lifecycle, candidate, now_ms)
 
+    def has_left(self, endpoint: str) -> bool:
+        """Return whether *endpoint* has deregistered for good."""
+        candidate = self._candidates.get(endpoint)
+        return candidate is not None and candidate.record.has_left
+
     def has_overdue_stop(self, endpoint: str, before_ms: float) -> bool:
         """Return whether a run there has been stopping since before *before_ms*."""
         candidate = self._candidates.get(endpoint)
--- a/src/foldloom/seed_discovery/owners/zone_owner.py
+++ b/src/foldloom/seed_discovery/owners/zone_owner.py
@@ -16,7 +16,7 @@
 from foldloom.clock import monotonic_ms
 from foldloom.logs import ENDPOINT_LOG
 from foldloom.seed_discovery.endpoints.calls import EndpointReport
-from foldloom.seed_discovery.endpoints.records import EndpointRecord, EndpointState
+from foldloom.seed_discovery.endpoints.records import EndpointRecord
 from foldloom.seed_discovery.fleet.messages import (
     HeartbeatAck,
     OwnerHeartbeat,
@@ -227,12 +227,14 @@
     async def sync_endpoints(self, endpoints: Container[str]) -> None:
         """Apply the catalog at once and wait until no start is in flight to *endpoints*.
 
-        A draining endpoint's report is answered after that, so that no task reaches the endpoint
-        once it has the answer.
+        The runs of one that has deregistered for good are ordered to stop before that. A draining
+        endpoint's report is answered after that, so that no task reaches the endpoint once it has
+        the answer.
         """
         if self._is_closed:
             return
         self._sync_with_catalog(monotonic_ms())
+        self._execute_actions()
         await self._orders.wait_for_starts(endpoints)
 
     def handle_offer(self, message: WaitingGroups) -> None:
@@ -277,12 +279,12 @@
     def may_renew(self, endpoint: str, now_ms: float) -> bool:
         """Return whether the lease of *endpoint* may be renewed.
 
-        It may not while a stop is overdue there, so that the run ends with the lease, or while
-        another box may have acquired the zone. Expired sessions are ended here too, because after a
-        process pause this may run before any tick.
+        It may not while a stop is overdue there, so that the run ends with the lease, once the
+        endpoint has deregistered for good, or while another box may have acquired the zone. Expired
+        sessions are ended here too, because after a process pause this may run before any tick.
         """
         self._end_expired_sessions(now_ms)
-        if not self._validity.is_valid(now_ms):
+        if not self._validity.is_valid(now_ms) or self._state.has_left(endpoint):
             return False
         return not self._state.has_overdue_stop(endpoint, now_ms - STOP_OVERDUE_MS)
 
@@ -413,13 +415,9 @@
     def _has_ended(self, endpoint: str) -> bool:
         """Return whether *endpoint*, to which there is no link, has certainly ended.
 
-        A deregistration may be a delayed one of an earlier incarnation, unless the endpoint never
-        uses its id again.
+        A deregistration only announces the end.
         """
-        if self._links.has_ended(endpoint):
-            return True
-        record = self._context.catalog.get(endpoint)
-        return record is not None and record.state is EndpointState.GONE and not record.born_ms
+        return self._links.has_ended(endpoint)
 
     def _adopt_bindings(self, now_ms: float) -> None:
         """Adopt what this box knows of earlier owners' orders, and report it to all boxes."""
--- a/tests/models/endpoint_world.py
+++ b/tests/models/endpoint_world.py
@@ -46,6 +46,10 @@
         """Return the time on the endpoint's clock."""
         return 10_000.0 + (now_ms - self._started_ms) * self._clock_rate
 
+    def lease_left_ms(self, now_ms: float) -> float:
+        """Return for how long the lease lasts, by the endpoint's clock."""
+        return self._lease_end - self.clock(now_ms)
+
     def lapse(self, now_ms: float) -> None:
         """End all runs if the lease has expired."""
         if self.clock(now_ms) < self._lease_end:
--- a/tests/test_owners_endpoint_link.py
+++ b/tests/test_owners_endpoint_link.py
@@ -37,6 +37,7 @@
 from foldloom.seed_discovery.owners.messages import EndCause
 from foldloom.seed_discovery.owners.state import OwnerState
 from foldloom.seed_discovery.owners.unanswered_starts import UNANSWERED_ORDER_TTL_MS
+from foldloom.seed_discovery.scheduling.runs import RunState
 from models.virtual_time import VirtualTimeLoop, run_in_virtual_time
 from test_owners_state import ends_of, start_one
 
@@ -107,6 +108,7 @@
         self.active: tuple[ActiveRun, ...] = ()
         self.ended: tuple[EndedRun, ...] = ()
         self.is_silent = False
+        self.failure: CallOutcome | None = None
         self.polls: list[PollOrder] = []
         self.checks_from = 0
         self.checked_ms = 0.0
@@ -117,6 +119,8 @@
         """Answer after the wait, or time out while silent."""
         self.polls.append(order)
         await asyncio.sleep(order.wait_ms / 1_000 + 0.001)
+        if self.failure is not None:
+            return PollReply(self.failure)
         if self.is_silent:
             await asyncio.sleep(0.25)
             return PollReply(CallOutcome.UNKNOWN, detail="TimeoutError")
@@ -255,6 +259,7 @@
 
     def note_incarnation_ended(self, endpoint: str, born_ms: int) -> None:
         """End the incarnation in the catalog."""
+        self.state.handle_other_id(endpoint, monotonic_ms())
         self.catalog.end_incarnation(endpoint, born_ms, monotonic_ms())
 
     def note_next_incarnation(self, endpoint: str, born_ms: int) -> None:
@@ -284,6 +289,11 @@
         self.catalog.merge(self.record._replace(state=EndpointState.DRAINING), monotonic_ms())
         assert self.catalog.note_deregistration("w1", monotonic_ms())
 
+    def state_of(self, run_id: RunId) -> RunState | None:
+        """Return the state of the present run of the task; ``None`` without one."""
+        run = self.state.current_run(run_id.task)
+        return None if run is None else run.state
+
     @property
     def causes(self) -> list[EndCause]:
         """Causes of the ends since the last call."""
@@ -394,15 +404,98 @@
 
         run_in_virtual_time(play(), VirtualTimeLoop())
 
-    def test_of_an_id_that_is_of_one_life(self) -> None:
-        """Without a birth time, the endpoint's runs end at once."""
+
+class TestFarewellForGood:
+    """The deregistration of an endpoint without a birth time, whose id is of one incarnation."""
+
+    # Guards against a second start while the endpoint waits for the answer to its deregistration.
+    def test_it_is_still_there(self) -> None:
+        """Its runs are stopped, and end only once it says so; then they wait for another start."""
 
         async def play() -> None:
             world = _World(born_ms=0)
-            await world.run_one()
+            run_id = await world.run_one()
             world.leave()
-            await world.follow(0.04)
-            assert world.causes == [EndCause.LAPSED]
+            await world.follow(0.6)
+            assert not world.is_open
+            assert [stop.run_id for stop in world.state.actions.pop_stops()] == [run_id]
+            assert world.state_of(run_id) is RunState.STOPPING
+            world.calls.active = ()
+            world.calls.ended = (EndedRun(1, run_id, EndKind.STOPPED),)
+            await world.follow(0.3)
+            assert world.state_of(run_id) is RunState.QUEUED
+            assert world.causes == []
+            assert world.links.get("w1") is None
+            world.links.close()
+
+        run_in_virtual_time(play(), VirtualTimeLoop())
+
+    def test_its_run_is_done(self) -> None:
+        """A run that ends before its stop arrives is done."""
+
+        async def play() -> None:
+            world = _World(born_ms=0)
+            run_id = await world.run_one()
+            world.leave()
+            world.calls.active = ()
+            world.calls.ended = (EndedRun(1, run_id, EndKind.DONE),)
+            await world.follow(0.3)
+            assert world.causes == [EndCause.DONE]
+            world.links.close()
+
+        run_in_virtual_time(play(), VirtualTimeLoop())
+
+    def test_it_has_ended(self) -> None:
+        """Once nothing listens at its address, its runs have ended, without a crash."""
+
+        async def play() -> None:
+            world = _World(born_ms=0)
+            run_id = await world.run_one()
+            world.leave()
+            world.calls.failure = CallOutcome.NO_LISTENER
+            await world.follow(0.3)
+            assert world.state_of(run_id) is RunState.QUEUED
+            assert world.state.crashes_of(run_id.task).crashes == 0
+            assert world.links.get("w1") is None
+            assert world.links.has_ended("w1")
+            world.links.close()
+
+        run_in_virtual_time(play(), VirtualTimeLoop())
+
+    def test_it_falls_silent(self) -> None:
+        """Its runs end once its lease has expired, and not before."""
+
+        async def play() -> None:
+            world = _World(born_ms=0)
+            run_id = await world.run_one()
+            world.calls.is_silent = True
+            world.leave()
+            # A poll that renewed the lease was sent 200 ms before at the earliest.
+            await world.follow((_LEASE_MS - 200.0) / 1_000)
+            assert world.state_of(run_id) is RunState.STOPPING
+            bound_ms = _LEASE_DURATIONS.lease_real_ms + LAPSE_MARGIN_MS + _POLL_S * 1_000
+            await world.follow((bound_ms - _LEASE_MS + 200.0) / 1_000)
+            assert world.state_of(run_id) is RunState.QUEUED
+            assert world.links.get("w1") is None
+            world.links.close()
+
+        run_in_virtual_time(play(), VirtualTimeLoop())
+
+    # Guards against a new owner that takes a deregistered endpoint for one without runs.
+    def test_it_has_not_reported(self) -> None:
+        """It is not dropped before it has answered a poll."""
+
+        async def play() -> None:
+            world = _World(born_ms=0)
+            world.calls.is_silent = True
+            world.links.sync_with_catalog(monotonic_ms())
+            world.leave()
+            await world.follow(0.2)
+            assert world.links.get("w1") is not None
+            assert not world.links.has_ended("w1")
+            world.calls.is_silent = False
+            await world.follow(0.5)
+            assert world.links.get("w1") is None
             world.links.close()
 
         run_in_virtual_time(play(), VirtualTimeLoop())
