--- a/benchmarks/broken.py
+++ b/benchmarks/broken.py
@@ -71,8 +71,8 @@
     Mutation(
         "a deregistered endpoint that nothing listens for has ended",
         "seed_discovery/owners/endpoint_link.py",
-        "has_left = outcome is CallOutcome.NO_LISTENER and self.record.has_left",
-        "has_left = False",
+        "            return self.record.has_left\n",
+        "            return False\n",
         _ENDPOINT_LINK + "TestFarewellForGood::test_it_has_ended",
     ),
     Mutation(
--- a/src/foldloom/seed_discovery/owners/endpoint_link.py
+++ b/src/foldloom/seed_discovery/owners/endpoint_link.py
@@ -321,8 +321,9 @@
 
     def _shows_end(self, outcome: CallOutcome) -> bool:
         """Return whether *outcome* shows that this incarnation has certainly ended."""
-        has_left = outcome is CallOutcome.NO_LISTENER and self.record.has_left
-        return has_left or outcome is CallOutcome.OTHER_LIFE
+        if outcome is CallOutcome.NO_LISTENER:
+            return self.record.has_left
+        return outcome is CallOutcome.OTHER_LIFE
 
     def _end(self) -> None:
         """Report that this incarnation has ended."""
--- a/tests/test_owners_lost_holders.py
+++ b/tests/test_owners_lost_holders.py
@@ -61,6 +61,13 @@
         ]
         assert run_scenario(seed, losses, lost_stops=1.0).overruns == []
 
+    # Guards against leases renewed beside orphaned runs by an owner that knows nothing of them.
+    @pytest.mark.parametrize("seed", range(4))
+    def test_nothing_heard(self, seed: int) -> None:
+        """The owner is killed and all other boxes restart: the next one has heard of no owner."""
+        losses = [Loss(LossKind.OWNER, 0.0), *[Loss(LossKind.RESTART, 0.0)] * 4]
+        assert run_scenario(seed, losses, lost_stops=1.0).overruns == []
+
     # Guards against each order of these events.
     @pytest.mark.parametrize("seed", range(_FIRST, _FIRST + _SEEDS))
     def test_any_order(self, seed: int) -> None:
